--- /dev/null
+++ b/src/main/java/stileferry/cli/Serve.java
@@ -0,0 +1,38 @@
+package stileferry.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import stileferry.Controller;
+import stileferry.protocol.SettingsReader;
+
+/** Runs a controller until the process is killed. */
+@Command(
+        name = "serve",
+        description = "Runs a controller until it is killed. LOG_LEVEL sets error, info or debug.",
+        mixinStandardHelpOptions = true,
+        footer = {"", "Example: stileferry serve --config node.json"})
+final class Serve implements Callable<Integer> {
+    /** The exit code that leaves the process running. */
+    static final int STAYS_UP = -1;
+
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, as JSON.")
+    private Path config;
+
+    @Override
+    public Integer call() throws Exception {
+        SettingsReader.Result read = SettingsFile.read(config);
+        if (read.settings() == null) {
+            System.err.println("stileferry: settings: " + read.problems().get(0));
+            return 2;
+        }
+        try {
+            Controller.builder().settings(read.settings()).build().start();
+        } catch (java.io.IOException | RuntimeException e) {
+            System.err.println("stileferry: can't start: " + (e.getCause() == null ? e : e.getCause()));
+            return 1;
+        }
+        return STAYS_UP;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -0,0 +1,110 @@
+package stileferry.coordination;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Settings;
+
+/** What the leader knows in one term: the jobs that are not over, the machines, and the teams' use. */
+final class Board {
+    private static final double EPSILON = 1e-6;
+
+    final Settings settings;
+    final Map<String, Job> jobs = new LinkedHashMap<>();
+    final Map<String, Machine> machines = new TreeMap<>();
+    List<MachineType> types = List.of();
+    private final Map<String, double[]> use = new HashMap<>();
+
+    Board(Settings settings) {
+        this.settings = settings;
+        for (Settings.Team team : settings.teams()) {
+            use.put(team.name(), new double[3]);
+        }
+    }
+
+    MachineType type(String name) {
+        for (MachineType type : types) {
+            if (type.name().equals(name)) {
+                return type;
+            }
+        }
+        return null;
+    }
+
+    Machine machine(String name) {
+        return machines.computeIfAbsent(name, Machine::new);
+    }
+
+    /** Counts a task that may be on a machine from now on. */
+    void add(Claim claim) {
+        claim.job.claims.put(claim.index, claim);
+        claim.job.taken.set(claim.index);
+        Machine machine = machine(claim.machine);
+        machine.claims.put(claim.name, claim);
+        claim.job.tasksInZone.merge(machine.zone, 1, Integer::sum);
+        count(claim, 1);
+    }
+
+    /** Ends a claim after proof that its task is not on its machine. */
+    void remove(Claim claim, boolean done) {
+        claim.job.claims.remove(claim.index, claim);
+        if (done) {
+            claim.job.done.set(claim.index);
+        } else {
+            claim.job.taken.clear(claim.index);
+        }
+        Machine machine = machine(claim.machine);
+        machine.claims.remove(claim.name, claim);
+        claim.job.tasksInZone.merge(machine.zone, -1, (a, b) -> a + b == 0 ? null : a + b);
+        count(claim, -1);
+    }
+
+    /** Takes in a machine's zone when it becomes known after claims on it were read. */
+    void setZone(Machine machine, String zone) {
+        if (!machine.zone.equals(zone)) {
+            for (Claim claim : machine.claims.values()) {
+                claim.job.tasksInZone.merge(machine.zone, -1, (a, b) -> a + b == 0 ? null : a + b);
+                claim.job.tasksInZone.merge(zone, 1, Integer::sum);
+            }
+            machine.zone = zone;
+        }
+    }
+
+    private void count(Claim claim, int sign) {
+        double[] sums = use.get(claim.job.spec.team());
+        if (sums == null) {
+            return; // a team that the settings no longer name has no limit to keep
+        }
+        sums[2] += sign;
+        sums[0] = sums[2] == 0 ? 0 : sums[0] + sign * claim.job.spec.cpus();
+        sums[1] = sums[2] == 0 ? 0 : sums[1] + sign * claim.job.spec.gpus();
+    }
+
+    double cpusOf(String team) {
+        double[] sums = use.get(team);
+        return sums == null ? 0 : sums[0];
+    }
+
+    double gpusOf(String team) {
+        double[] sums = use.get(team);
+        return sums == null ? 0 : sums[1];
+    }
+
+    /** Whether one more task of the job keeps its team within its limit. */
+    boolean withinLimit(Job job) {
+        Settings.Team team = settings.team(job.spec.team());
+        return team == null
+                || (team.cpusMax() == 0 || cpusOf(team.name()) + job.spec.cpus() <= team.cpusMax() + EPSILON)
+                && (team.gpusMax() == 0 || gpusOf(team.name()) + job.spec.gpus() <= team.gpusMax() + EPSILON);
+    }
+
+    /** Whether the team runs more than its guarantee, even after giving back so much. */
+    boolean beyondGuarantee(String name, double givenBackCpus, double givenBackGpus) {
+        Settings.Team team = settings.team(name);
+        return team != null && (cpusOf(name) - givenBackCpus > team.cpus() + EPSILON
+                || gpusOf(name) - givenBackGpus > team.gpus() + EPSILON);
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Claim.java
@@ -0,0 +1,67 @@
+package stileferry.coordination;
+
+import stileferry.protocol.Report;
+
+/**
+ * A task that may be on a machine. It is made durable before the machine hears of it, and stands until there is
+ * proof that the task is not there.
+ */
+final class Claim {
+    final Job job;
+    final int index;
+    final long attempt;
+    final String machine;
+    final long session;
+    final String name;
+
+    /** When this leader decided; 0 for a claim read from the state service. */
+    final long orderedAt;
+
+    boolean durable;
+
+    /** Commands to start that were sent in any way, so that the machine may know the attempt. */
+    int runsSent;
+
+    /** Where the machine last said the task stands; null: not seen there yet. */
+    Report.Stage stage;
+
+    /** When it was first reported running, by this leader's clock; 0: not yet. */
+    long runningAt;
+
+    /** Set when the task is to stop; the time in seconds that it may take to save, or -1. */
+    double stopGraceS = -1;
+
+    long stopAskedAt;
+
+    Claim(Job job, int index, long attempt, String machine, long session, long orderedAt) {
+        this.job = job;
+        this.index = index;
+        this.attempt = attempt;
+        this.machine = machine;
+        this.session = session;
+        this.name = job.spec.id() + "/" + index;
+        this.orderedAt = orderedAt;
+    }
+
+    boolean stopping() {
+        return stopGraceS >= 0;
+    }
+
+    /** Asks for a stop; a shorter time to save replaces a longer one. */
+    void stop(double graceS, long now) {
+        if (stopGraceS < 0 || graceS < stopGraceS) {
+            stopGraceS = graceS;
+            stopAskedAt = now;
+        }
+    }
+
+    /** Work that a stop would lose, in milliseconds: all of it, or what came after the last checkpoint. */
+    long lossMs(long now) {
+        if (runningAt == 0) {
+            return 0;
+        }
+        long ran = now - runningAt;
+        long checkpoint = Math.round(job.spec.checkpointS() * 1000);
+        return checkpoint > 0 ? Math.min(ran, checkpoint) : ran;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -0,0 +1,216 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Report;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+import stileferry.storage.StateClient;
+
+/**
+ * The single owner of one controller's state. Every method runs on the owner's turn; replies may come in a later
+ * turn. Given the same calls and the same {@link Outside}, it does the same.
+ */
+public final class Coordinator implements Leadership.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger("coordinator");
+
+    /** A node is ready for this long after it last saw a leader, so that a change of leader resets nobody. */
+    private static final long READY_GRACE_MS = 8000;
+
+    private static final long TYPES_MS = 60_000;
+    private static final int WORKERS_REMEMBERED = 10_000;
+
+    private final Settings settings;
+    private final Outside outside;
+    private final StateClient state;
+    private final Leadership leadership;
+    private final EndedJobs ended = new EndedJobs();
+    private final long reportMs;
+    private final long leaseMs;
+
+    /** Workers that were sent to the leader: when, and to whom. */
+    private final Cache<String, Sent> sentAway =
+            CacheBuilder.newBuilder().maximumSize(WORKERS_REMEMBERED).concurrencyLevel(1).build();
+
+    private List<MachineType> types = List.of();
+    private Leader leader;
+    private long leaderSeenAt = Long.MIN_VALUE / 2;
+
+    private record Sent(String leader, long at) {}
+
+    /** A coordinator for one controller. */
+    public Coordinator(Settings settings, Outside outside) {
+        this.settings = settings;
+        this.outside = outside;
+        this.state = new StateClient(outside, settings);
+        this.leadership = new Leadership(outside, state, settings, this);
+        this.reportMs = Math.round(settings.workers().reportS() * 1000);
+        this.leaseMs = Math.round(settings.workers().leaseS() * 1000);
+    }
+
+    /** Begins to follow or run for the leadership. */
+    public void start() {
+        leadership.start();
+        askTypes();
+    }
+
+    private void askTypes() {
+        outside.call(settings.cloudAddr(), "GET", "/machine_types", null, 5000, (status, body) -> {
+            List<MachineType> read = status == 200 && body != null ? MachineType.readAll(body) : List.of();
+            if (!read.isEmpty()) {
+                types = read;
+                if (leader != null) {
+                    leader.types(read);
+                }
+            }
+            outside.after(types.isEmpty() ? 1000 + outside.random().nextLong(1000) : TYPES_MS, this::askTypes);
+        });
+    }
+
+    @Override
+    public void elected(long term, long leaderRevision) {
+        leader = new Leader(settings, outside, state, leadership, ended, types, term, leaderRevision);
+    }
+
+    @Override
+    public void deposed() {
+        if (leader != null) {
+            leader.close();
+            leader = null;
+        }
+    }
+
+    /** Called after each batch of commands. */
+    public void endOfBatch() {
+        if (leader != null) {
+            leader.endOfTurn();
+        }
+    }
+
+    /** Whether users should be sent here: a leader is, or was just now, within reach. */
+    public boolean ready() {
+        long now = outside.now();
+        if (leader != null && leader.active()) {
+            leaderSeenAt = now;
+        } else if (leadership.leaderPeer() != null) {
+            leaderSeenAt = Math.max(leaderSeenAt, leadership.leaderHeardAt());
+        }
+        return now - leaderSeenAt < READY_GRACE_MS;
+    }
+
+    // ---- users
+
+    /** Takes a user's request: here when this node leads, else by way of the leader. */
+    public void user(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
+        if (leader != null) {
+            lead(ask, id, body, reply);
+            return;
+        }
+        Settings.Peer peer = leadership.leaderPeer();
+        if (peer == null) {
+            reply.accept(Leader.unavailable());
+            return;
+        }
+        // shorter than the users' own patience: 2 s for a question, 5 s for a change
+        long patience = ask == PeerRecord.Ask.STATUS ? 1500 : 4000;
+        outside.peer(peer, new PeerRecord.Forward(ask, id, body), patience, answer ->
+                reply.accept(answer instanceof PeerRecord.Answer a ? a : Leader.unavailable()));
+    }
+
+    private void lead(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
+        switch (ask) {
+            case SUBMIT -> leader.submit(body, reply);
+            case STATUS -> leader.status(id, reply);
+            case WITHDRAW -> leader.withdraw(id, reply);
+            case REPORT -> {
+                Report report = Report.read(Wire.decode(body));
+                if (report == null) {
+                    reply.accept(Leader.refusal(400, "not a report"));
+                } else {
+                    answerReport(report, (status, node) ->
+                            reply.accept(new PeerRecord.Answer(status, 0, Wire.encode(node))));
+                }
+            }
+        }
+    }
+
+    // ---- workers
+
+    /** Takes a worker's report. */
+    public void report(byte[] body, BiConsumer<Integer, ObjectNode> reply) {
+        JsonNode node = Wire.decode(body);
+        Report report = Report.read(node);
+        if (report == null) {
+            reply.accept(400, Messages.error("not a report"));
+        } else if (leader != null) {
+            answerReport(report, reply);
+        } else {
+            redirect(report, body, reply);
+        }
+    }
+
+    private void answerReport(Report report, BiConsumer<Integer, ObjectNode> reply) {
+        if (report.token() > leadership.term()) {
+            leadership.learn(report.token(), "");
+        }
+        ObjectNode answer = leader == null ? null : leader.report(report);
+        if (answer == null) {
+            reply.accept(503, Messages.error("not entitled to answer this report"));
+        } else {
+            reply.accept(200, answer);
+        }
+    }
+
+    /** Names the leader; a worker that comes back although it was sent there can't reach it, so its report is passed on. */
+    private void redirect(Report report, byte[] body, BiConsumer<Integer, ObjectNode> reply) {
+        Settings.Peer peer = leadership.leaderPeer();
+        if (peer == null) {
+            reply.accept(503, Messages.error("no leader known"));
+            return;
+        }
+        long now = outside.now();
+        Sent sent = sentAway.getIfPresent(report.machine());
+        if (sent == null || !sent.leader.equals(peer.node()) || now - sent.at > 2 * leaseMs) {
+            sentAway.put(report.machine(), new Sent(peer.node(), now));
+            reply.accept(421, Messages.reportTo(peer.node()));
+            return;
+        }
+        outside.peer(peer, new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
+                Math.min(3000, reportMs), answer -> {
+                    if (answer instanceof PeerRecord.Answer a && Wire.decode(a.body()) instanceof ObjectNode o) {
+                        reply.accept(a.status(), o);
+                    } else {
+                        reply.accept(503, Messages.error("the leader does not answer"));
+                    }
+                });
+    }
+
+    // ---- other controllers
+
+    /** Takes a record from another controller. */
+    public void peer(PeerRecord record, Consumer<PeerRecord> reply) {
+        if (record instanceof PeerRecord.Term t) {
+            reply.accept(leadership.hear(t));
+        } else if (record instanceof PeerRecord.Forward f) {
+            if (leader == null) {
+                reply.accept(Leader.unavailable());
+            } else {
+                lead(f.ask(), f.id(), f.body(), reply::accept);
+            }
+        } else {
+            LOG.debug("a record that nobody asked for: {}", record);
+            reply.accept(Leader.unavailable());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/EndedJobs.java
@@ -0,0 +1,38 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Wire;
+
+/** Jobs that are over, as far as they were asked for lately. An ended job never changes, so nothing here is stale. */
+final class EndedJobs {
+    private static final int MOST = 4096;
+
+    private final Cache<String, Ended> cache = CacheBuilder.newBuilder().maximumSize(MOST).concurrencyLevel(1).build();
+
+    /** How a job ended. */
+    record Ended(String how, int tasksDone) {
+        static Ended read(JsonNode v) {
+            return new Ended(v.path("how").asText(), v.path("done").asInt());
+        }
+
+        ObjectNode write() {
+            return Wire.map().put("how", how).put("done", tasksDone);
+        }
+
+        ObjectNode answer(String id) {
+            return Messages.jobState(id, how, tasksDone, 0);
+        }
+    }
+
+    Ended get(String id) {
+        return cache.getIfPresent(id);
+    }
+
+    void put(String id, Ended ended) {
+        cache.put(id, ended);
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -0,0 +1,327 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Messages.Signal;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Report;
+
+/**
+ * Dealings with the workers in one term: takes their reports, decides what is proven by them, and says what they
+ * shall do. Silence proves nothing; only an exit, a higher session, a lapsed lease or a deleted machine does.
+ */
+final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger("fleet");
+
+    /** Clocks drift by 0.05% at most; twice that, and a little for timers and packets. */
+    private static final double DRIFT = 0.001;
+
+    private static final long LAPSE_SLACK_MS = 500;
+
+    private final Board board;
+    private final Outside outside;
+    private final Leadership leadership;
+    private final long term;
+    private final Events events;
+    private final long reportMs;
+    private final long leaseMs;
+    private final long cancelMs;
+    private final Set<Machine> nudged = new LinkedHashSet<>();
+    private final Set<Machine> inFlight = new LinkedHashSet<>();
+    private boolean closed;
+
+    /** What becomes known of claimed tasks. */
+    interface Events {
+        /** The task has exited; its claim is to be settled. */
+        void exited(Machine machine, Claim claim, Report.TaskState state);
+
+        /** It is proven that the task is not on its machine and can't come there any more. */
+        void gone(Claim claim, String proof);
+
+        /** Something changed that a pass may use. */
+        void changed();
+    }
+
+    Fleet(Board board, Outside outside, Leadership leadership, long term, Events events) {
+        this.board = board;
+        this.outside = outside;
+        this.leadership = leadership;
+        this.term = term;
+        this.events = events;
+        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
+        this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
+        this.cancelMs = Math.round(board.settings.workers().cancelS() * 1000);
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Takes a report and returns the answer's body; null when this report must not be answered with 200. */
+    ObjectNode report(Report r) {
+        Machine m = board.machine(r.machine());
+        if (m.deleting || r.session() <= m.lapsedSession) {
+            return null; // its lease may not be renewed: what was on it is counted as gone, or about to be
+        }
+        boolean fresh = take(m, r, true);
+        m.answeredAt = outside.now();
+        List<Signal> signals = fresh && leadership.sure() ? signals(m, true) : List.of();
+        return Messages.signals(term, signals);
+    }
+
+    /** Answers a report before the claims have been read: the lease is renewed, nothing is asked for. */
+    ObjectNode hold(Report r) {
+        Machine m = board.machine(r.machine());
+        m.addr = r.addr();
+        m.answeredAt = outside.now();
+        return Messages.signals(term, List.of());
+    }
+
+    /** Takes in what a worker says. False when something newer was heard before. */
+    private boolean take(Machine m, Report r, boolean inOrder) {
+        if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq
+                || r.session() <= m.lapsedSession) {
+            return false;
+        }
+        long now = outside.now();
+        if (!m.heard || r.session() > m.session) {
+            m.idleSince = now;
+            events.changed();
+        }
+        if (!m.heard && m.rentedAt != 0) {
+            LOG.info("machine {} is up in {} after {} s", m.name, r.zone(), (now - m.rentedAt) / 1000);
+        }
+        if (r.session() > m.session) {
+            m.openRuns.clear();
+            m.settling.clear();
+        }
+        m.heard = true;
+        m.heardAt = now;
+        m.session = r.session();
+        m.seq = r.seq();
+        m.token = r.token();
+        m.addr = r.addr();
+        m.typeName = r.type();
+        m.type = board.type(r.type());
+        m.spot = r.spot();
+        board.setZone(m, r.zone());
+        if (r.noticeS() >= 0 && m.noticeS < 0) {
+            LOG.info("machine {} will be taken in {} s", m.name, r.noticeS());
+            m.noticeS = r.noticeS();
+            leave(m, now);
+        }
+        m.lastTasks = r.tasks();
+        m.strays = false;
+        Map<String, Report.TaskState> reported = new HashMap<>();
+        for (Report.TaskState t : r.tasks()) {
+            Claim c = m.claims.get(t.task());
+            if (c != null && c.durable && c.attempt == t.attempt() && c.session == r.session()) {
+                reported.put(t.task(), t);
+            } else if (t.stage() != Report.Stage.EXITED) {
+                m.strays = true;
+                nudge(m);
+            }
+        }
+        for (Claim c : List.copyOf(m.claims.values())) {
+            Report.TaskState t = reported.get(c.name);
+            if (c.session < r.session()) {
+                events.gone(c, "session");
+            } else if (t != null) {
+                see(m, c, t, now);
+            } else if (c.stopping() && inOrder && c.durable && c.stage == null && m.accepted(term)
+                    && !m.openRuns.containsKey(c.attempt)) {
+                // A worker has one report in flight: every answer with a start in it was carried out or dropped
+                // before this report, no direct start is unanswered, and older leaders are not obeyed any more.
+                events.gone(c, "never started");
+            }
+        }
+        return true;
+    }
+
+    private void see(Machine m, Claim c, Report.TaskState t, long now) {
+        if (c.stage != t.stage()) {
+            c.stage = t.stage();
+            if (t.stage() == Report.Stage.RUNNING || t.stage() == Report.Stage.SAVING) {
+                if (c.runningAt == 0) {
+                    c.runningAt = now;
+                    m.holds(c.job.spec.image(), c.job.spec.imageGb());
+                }
+            }
+        }
+        if (t.stage() == Report.Stage.EXITED) {
+            events.exited(m, c, t);
+        }
+    }
+
+    /** What a notice asks for: save what can be saved, and move what has to run elsewhere. */
+    private void leave(Machine m, long now) {
+        for (Claim c : m.claims.values()) {
+            if (c.job.spec.service()) {
+                c.stop(0, now);
+            } else if (c.job.spec.checkpointS() > 0) {
+                c.stop(c.job.spec.saveS(), now);
+            }
+        }
+        nudge(m);
+        events.changed();
+    }
+
+    /** All that the worker should do and has not been seen to have done. */
+    private List<Signal> signals(Machine m, boolean inAnswer) {
+        List<Signal> signals = new ArrayList<>();
+        long now = outside.now();
+        for (Report.TaskState t : m.lastTasks) {
+            Claim c = m.claims.get(t.task());
+            boolean claimed = c != null && c.attempt == t.attempt();
+            if (claimed) {
+                continue;
+            }
+            if (t.stage() != Report.Stage.EXITED) {
+                signals.add(new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0));
+            } else if (inAnswer && m.accepted(term) && !m.settling.contains(t.attempt())
+                    && !m.openRuns.containsKey(t.attempt())) {
+                // Only in answers to reports: a direct one could overtake an answer that repeats the start, and
+                // after a clear a repeated start runs the task once more.
+                signals.add(new Signal(Signal.Kind.CLEAR, t.task(), t.attempt(), 0));
+            }
+        }
+        for (Claim c : m.claims.values()) {
+            if (!c.durable || c.session != m.session) {
+                continue;
+            }
+            boolean lateCancel = c.job.cancelled && now - c.stopAskedAt > cancelMs / 2;
+            if (c.stage == null && (!c.stopping() || m.openRuns.containsKey(c.attempt) && inAnswer && !lateCancel)) {
+                // For a stopped task an unanswered start is made harmless by letting the worker know the attempt.
+                signals.add(new Signal(Signal.Kind.RUN, c.name, c.attempt, 0));
+                c.runsSent++;
+                if (!inAnswer) {
+                    m.openRuns.merge(c.attempt, 1, Integer::sum);
+                }
+            }
+            if (c.stopping() && c.stage != Report.Stage.EXITED
+                    && !(c.stage == Report.Stage.SAVING && c.stopGraceS > 0)) {
+                signals.add(new Signal(Signal.Kind.KILL, c.name, c.attempt, c.stopGraceS));
+            }
+        }
+        return signals;
+    }
+
+    /** Wants commands to go out to this machine without waiting for its next report. */
+    void nudge(Machine m) {
+        nudged.add(m);
+    }
+
+    /** Sends what was wanted since the last turn; machines not heard lately get it in answer to their reports. */
+    void send() {
+        if (nudged.isEmpty() || closed || !leadership.sure()) {
+            return;
+        }
+        for (Machine m : List.copyOf(nudged)) {
+            if (inFlight.contains(m)) {
+                continue; // again when the answer is there
+            }
+            nudged.remove(m);
+            if (!m.heard || m.deleting || m.addr.isEmpty() || outside.now() - m.heardAt > 2 * reportMs) {
+                continue;
+            }
+            List<Signal> signals = signals(m, false);
+            if (!signals.isEmpty()) {
+                command(m, m.session, signals, 1);
+            }
+        }
+    }
+
+    /** Makes this term known to a worker at once, so that it tells where it stands and ignores older leaders. */
+    void greet(Machine m) {
+        if (!m.addr.isEmpty() && !m.heard && !m.deleting) {
+            long session = Math.max(1, m.session);
+            for (Claim c : m.claims.values()) {
+                session = Math.max(session, c.session);
+            }
+            command(m, session, List.of(), 2);
+        }
+    }
+
+    private void command(Machine m, long session, List<Signal> signals, int tries) {
+        inFlight.add(m);
+        outside.call(m.addr, "POST", "/commands", Messages.commands(term, session, signals), reportMs,
+                (status, body) -> {
+                    inFlight.remove(m);
+                    if (closed) {
+                        return;
+                    }
+                    if (status == 200 || status == 409 || status == Outside.NOT_SENT) {
+                        for (Signal s : signals) {
+                            if (s.kind() == Signal.Kind.RUN) {
+                                m.openRuns.computeIfPresent(s.attempt(), (a, n) -> n == 1 ? null : n - 1);
+                            }
+                        }
+                    }
+                    Report r = status == 200 || status == 409 ? Report.read(body) : null;
+                    if (r == null || !r.machine().equals(m.name)) {
+                        return; // no answer, or another machine that has the address now
+                    }
+                    if (r.token() > term) {
+                        leadership.learn(r.token(), "");
+                        return;
+                    }
+                    take(m, r, false);
+                    if (status == 409 && tries > 1 && r.session() != session) {
+                        command(m, r.session(), List.of(), tries - 1);
+                    }
+                });
+    }
+
+    /** Looks for leases that have lapsed for certain. */
+    void checkLeases() {
+        long now = outside.now();
+        long acked = leadership.allAckedAt();
+        for (Machine m : board.machines.values()) {
+            long since = -1;
+            if (m.answeredAt > 0 && m.accepted(term)) {
+                since = m.answeredAt;
+            } else if (acked >= 0) {
+                since = Math.max(acked, m.answeredAt);
+            }
+            if (since < 0 || now < since + Math.round(leaseMs * (1 + DRIFT)) + LAPSE_SLACK_MS) {
+                continue;
+            }
+            long over = m.session;
+            for (Claim c : m.claims.values()) {
+                over = Math.max(over, c.session);
+            }
+            if (over > m.lapsedSession) {
+                m.lapsedSession = over;
+                if (m.heard || !m.claims.isEmpty()) {
+                    LOG.info("machine {} is silent, its lease has lapsed with {} tasks", m.name, m.claims.size());
+                }
+                for (Claim c : List.copyOf(m.claims.values())) {
+                    events.gone(c, "lease");
+                }
+                events.changed();
+            }
+        }
+    }
+
+    /** The cloud has confirmed that a machine is gone with all that was on it. */
+    void deleted(Machine m) {
+        for (Claim c : List.copyOf(m.claims.values())) {
+            events.gone(c, "machine deleted");
+        }
+        board.machines.remove(m.name);
+        events.changed();
+    }
+
+    /** True when nothing was heard for longer than reports can take. */
+    boolean silent(Machine m) {
+        return m.heard && outside.now() - m.heardAt > 2 * reportMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -0,0 +1,563 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Report;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+import stileferry.storage.Ledger;
+import stileferry.storage.StateClient;
+
+/** One term of leading: reads what is durable, then serves users, workers and the queue until it is closed. */
+final class Leader implements Fleet.Events {
+    private static final Logger LOG = LoggerFactory.getLogger("leader");
+
+    private static final long PASS_MS = 1000;
+    private static final long COALESCE_MS = 20;
+
+    /** Attempts of one term are numbered below this, so that attempts of a later term are always higher. */
+    private static final long ATTEMPTS_PER_TERM = 1L << 32;
+
+    private static final double SLOWDOWN_THRESHOLD_S = 60;
+
+    private final Settings settings;
+    private final Outside outside;
+    private final StateClient state;
+    private final Leadership leadership;
+    private final EndedJobs ended;
+    private final long term;
+    private final Ledger ledger;
+    private final Board board;
+    private final Fleet fleet;
+    private final Placement placement;
+    private final Preemption preemption;
+    private final Provisioning provisioning;
+    private final long roundMs;
+
+    private long numbers;
+    private boolean active;
+    private long activeAt;
+    private boolean closed;
+    private boolean passAsked;
+
+    Leader(Settings settings, Outside outside, StateClient state, Leadership leadership, EndedJobs ended,
+            List<MachineType> types, long term, long leaderRevision) {
+        this.settings = settings;
+        this.outside = outside;
+        this.state = state;
+        this.leadership = leadership;
+        this.ended = ended;
+        this.term = term;
+        this.ledger = new Ledger(outside, state, Leadership.LEADER_KEY, leaderRevision, term, leadership::resign);
+        this.board = new Board(settings);
+        this.board.types = types;
+        this.fleet = new Fleet(board, outside, leadership, term, this);
+        this.placement = new Placement(board);
+        this.preemption = new Preemption(board, placement);
+        this.provisioning = new Provisioning(board, outside, fleet, term);
+        this.roundMs = Math.round(settings.workers().reportS() * 1250) + 1000;
+        load();
+    }
+
+    void close() {
+        closed = true;
+        ledger.close();
+        fleet.close();
+        provisioning.close();
+        for (Job job : board.jobs.values()) {
+            answer(job, unavailable());
+        }
+    }
+
+    boolean active() {
+        return active;
+    }
+
+    /** The machine types are known from now on, or have changed. */
+    void types(List<MachineType> types) {
+        board.types = types;
+        for (Machine m : board.machines.values()) {
+            m.type = board.type(m.typeName);
+        }
+        changed();
+    }
+
+    // ---- taking over
+
+    private void load() {
+        state.scan("j/", true, jobs -> {
+            if (closed) {
+                return;
+            }
+            if (jobs.rows() == null) {
+                outside.after(300, this::load);
+                return;
+            }
+            state.scan("c/", true, chunks -> {
+                if (closed) {
+                    return;
+                }
+                if (chunks.rows() == null) {
+                    outside.after(300, this::load);
+                } else {
+                    build(jobs.rows(), chunks.rows());
+                }
+            });
+        });
+    }
+
+    private void build(List<StateClient.Row> jobs, List<StateClient.Row> chunks) {
+        for (StateClient.Row row : jobs) {
+            try {
+                Job job = Job.read(row.value(), row.revision());
+                board.jobs.put(job.spec.id(), job);
+            } catch (JobSpec.Malformed e) {
+                LOG.error("the record {} can't be read: {}", row.key(), e.getMessage());
+            }
+        }
+        int claims = 0;
+        for (StateClient.Row row : chunks) {
+            String[] parts = row.key().split("/");
+            Job job = parts.length == 3 ? board.jobs.get(parts[1]) : null;
+            if (job == null) {
+                // left by a job that ended: its records go one by one after the one that says so
+                ledger.delete(new Ledger.Entry(row.key(), row.revision(), Wire::map), null);
+                continue;
+            }
+            for (Claim claim : job.readChunk(Integer.parseInt(parts[2]), row.value(), row.revision())) {
+                board.add(claim);
+                claims++;
+            }
+        }
+        active = true;
+        activeAt = outside.now();
+        LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, board.jobs.size(), claims);
+        for (Job job : List.copyOf(board.jobs.values())) {
+            if (job.cancelled) {
+                stopAll(job);
+                endIfOver(job);
+            } else if (job.unfinished() == 0) {
+                end(job, "done");
+            }
+        }
+        provisioning.list();
+        tick();
+    }
+
+    private void tick() {
+        if (closed) {
+            return;
+        }
+        outside.after(PASS_MS, this::tick);
+        fleet.checkLeases();
+        if (leadership.sure()) {
+            provisioning.list();
+            provisioning.returnMachines(settled());
+            pass(true);
+            endOfTurn();
+        }
+    }
+
+    /** After one report round, what has not reported is taken for absent where that only costs a chance. */
+    private boolean settled() {
+        return outside.now() - activeAt > roundMs;
+    }
+
+    // ---- passes
+
+    @Override
+    public void changed() {
+        if (!passAsked && active) {
+            passAsked = true;
+            outside.after(COALESCE_MS, () -> {
+                passAsked = false;
+                if (!closed && leadership.sure()) {
+                    pass(false);
+                    endOfTurn();
+                }
+            });
+        }
+    }
+
+    private void pass(boolean regular) {
+        if (board.types.isEmpty() || ledger.backlog() > 4 * settings.state().txnOps()) {
+            return;
+        }
+        long now = outside.now();
+        List<Job> waiting = placement.pass(now, outside.timeOfDay(), this::start);
+        if (settled() && !waiting.isEmpty()) {
+            long urgentAfter = Math.round(1000 * board.types.get(0).bootS());
+            for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, outside.timeOfDay())) {
+                LOG.debug("stopping {} to make room for {}", stop.victim().name, stop.forJob().spec.id());
+                stop(stop.victim(), stop.graceS());
+            }
+            if (regular) {
+                provisioning.rent(waiting);
+            }
+        }
+    }
+
+    private void start(Job job, Machine machine) {
+        long now = outside.now();
+        int index = job.nextWaiting(now);
+        Claim claim = new Claim(job, index, term * ATTEMPTS_PER_TERM + ++numbers, machine.name, machine.session, now);
+        board.add(claim);
+        ledger.put(job.chunkOf(index), () -> {
+            claim.durable = true;
+            if (job.claims.get(index) == claim && !claim.stopping() && !job.cancelled) {
+                fleet.nudge(machine);
+            }
+        });
+    }
+
+    /** Stops a claimed task; one that its machine has never heard of is simply not there. */
+    private void stop(Claim claim, double graceS) {
+        if (claim.runsSent == 0) {
+            gone(claim, "never sent");
+            return;
+        }
+        claim.stop(graceS, outside.now());
+        fleet.nudge(board.machine(claim.machine));
+    }
+
+    // ---- what workers tell
+
+    @Override
+    public void exited(Machine machine, Claim claim, Report.TaskState t) {
+        Job job = claim.job;
+        long now = outside.now();
+        boolean done = t.why().equals("done") && !job.spec.service();
+        machine.settling.add(t.attempt());
+        if (done) {
+            if (claim.orderedAt > 0 && claim.runningAt > 0) {
+                machine.finished((now - claim.runningAt) / 1000.0, (claim.runningAt - claim.orderedAt) / 1000.0,
+                        SLOWDOWN_THRESHOLD_S);
+            }
+            job.successes++;
+            job.retries.remove(claim.index);
+            machine.failures.clear();
+        } else {
+            failed(machine, claim, t, now);
+        }
+        settle(claim, done, () -> machine.settling.remove(t.attempt()));
+    }
+
+    private void failed(Machine machine, Claim claim, Report.TaskState t, long now) {
+        Job job = claim.job;
+        switch (t.why()) {
+            case "error" -> {
+                Job.Retry retry = job.retries.computeIfAbsent(claim.index, i -> new Job.Retry());
+                retry.notBefore = now + Math.min(60_000, 1000L << Math.min(6, retry.failures++));
+                job.failedOn.add(machine.name);
+                machine.failures.merge(job.spec.id(), 1, Integer::sum);
+                judge(machine);
+            }
+            case "full", "busy" -> machine.placeAfter = now + roundMs;
+            case "unknown" -> {
+                Job.Retry retry = job.retries.computeIfAbsent(claim.index, i -> new Job.Retry());
+                retry.notBefore = now + Math.min(60_000, 500L << Math.min(7, retry.failures++));
+            }
+            default -> { }
+        }
+    }
+
+    /**
+     * A machine is faulty when tasks of two jobs failed on it since one succeeded, or one job failed on it again and
+     * again that succeeds elsewhere. A job that fails everywhere speaks against no machine.
+     */
+    private void judge(Machine machine) {
+        int weight = 0;
+        for (var failure : machine.failures.entrySet()) {
+            Job job = board.jobs.get(failure.getKey());
+            if (job == null || job.failedOn.size() < 3) {
+                weight += job != null && job.successes > 0 ? Math.min(2, failure.getValue()) : 1;
+            }
+        }
+        if (weight >= 2 && !machine.faulty) {
+            LOG.info("machine {} fails its tasks and is taken out of use", machine.name);
+            machine.faulty = true;
+            for (Claim claim : List.copyOf(machine.claims.values())) {
+                stop(claim, claim.job.spec.saveS());
+            }
+        }
+    }
+
+    @Override
+    public void gone(Claim claim, String proof) {
+        if (claim.job.claims.get(claim.index) == claim) {
+            LOG.debug("{} is not on {} any more: {}", claim.name, claim.machine, proof);
+            settle(claim, false, null);
+        }
+    }
+
+    private void settle(Claim claim, boolean done, Runnable onDurable) {
+        Job job = claim.job;
+        Machine machine = board.machine(claim.machine);
+        board.remove(claim, done);
+        if (machine.claims.isEmpty()) {
+            machine.idleSince = outside.now();
+        }
+        if (job.unfinished() == 0 && !job.cancelled) {
+            end(job, "done", onDurable);
+        } else if (job.cancelled && job.claims.isEmpty()) {
+            end(job, "cancelled", onDurable);
+        } else {
+            ledger.put(job.chunkOf(claim.index), onDurable);
+        }
+        changed();
+    }
+
+    // ---- ends of jobs
+
+    private void stopAll(Job job) {
+        for (Claim claim : List.copyOf(job.claims.values())) {
+            stop(claim, 0);
+        }
+    }
+
+    private void endIfOver(Job job) {
+        if (job.claims.isEmpty()) {
+            end(job, "cancelled");
+        }
+    }
+
+    private void end(Job job, String how) {
+        end(job, how, null);
+    }
+
+    /** Moves a job among the ended ones; what else is stored of it goes afterwards. */
+    private void end(Job job, String how, Runnable onDurable) {
+        if (job.ending) {
+            return;
+        }
+        job.ending = true;
+        EndedJobs.Ended record = new EndedJobs.Ended(how, job.done.cardinality());
+        Ledger.Entry entry = new Ledger.Entry(Job.endedKey(job.spec.id()), 0, record::write);
+        ledger.move(entry, job.record, () -> {
+            board.jobs.remove(job.spec.id());
+            ended.put(job.spec.id(), record);
+            answer(job, ok(200, record.answer(job.spec.id())));
+            if (onDurable != null) {
+                onDurable.run();
+            }
+        });
+        for (Ledger.Entry chunk : job.chunks.values()) {
+            if (chunk.stored()) {
+                ledger.delete(chunk, null);
+            }
+        }
+    }
+
+    // ---- workers and peers
+
+    /** Answers a report; null: not with 200. */
+    ObjectNode report(Report r) {
+        return active ? fleet.report(r) : fleet.hold(r);
+    }
+
+    /** Everything that piled up in a turn goes out together. */
+    void endOfTurn() {
+        if (!closed && leadership.sure()) {
+            ledger.flush();
+            fleet.send();
+        }
+    }
+
+    // ---- users
+
+    static PeerRecord.Answer ok(int status, ObjectNode body) {
+        return new PeerRecord.Answer(status, 0, Wire.encode(body));
+    }
+
+    static PeerRecord.Answer unavailable() {
+        return new PeerRecord.Answer(503, 1, Wire.encode(Messages.error("not available, try again")));
+    }
+
+    static PeerRecord.Answer refusal(int status, String reason) {
+        return new PeerRecord.Answer(status, 0, Wire.encode(Messages.error(reason)));
+    }
+
+    private boolean serving() {
+        return active && !closed && leadership.sure();
+    }
+
+    private void answer(Job job, PeerRecord.Answer answer) {
+        List<Consumer<PeerRecord.Answer>> waiting = job.waiting;
+        job.waiting = new ArrayList<>();
+        waiting.forEach(w -> w.accept(answer));
+    }
+
+    private PeerRecord.Answer state(Job job, int status) {
+        if (!job.accepted || job.cancelled && !job.cancelDurable) {
+            return unavailable(); // the outcome of what would change the answer is not known yet
+        }
+        int running = job.cancelled ? 0 : job.runningCount();
+        String tide = job.cancelled ? "cancelled" : running > 0 ? "running" : "pending";
+        int done = job.ending ? Math.max(0, job.done.cardinality() - 1) : job.done.cardinality();
+        return ok(status, Messages.jobState(job.spec.id(), tide, done, running));
+    }
+
+    /** Looks an id up among the ended jobs; the status is 0 when that can't be told now. */
+    private void lookUp(String id, Consumer<EndedJobs.Ended> known, Runnable unknown, Runnable failed) {
+        EndedJobs.Ended cached = ended.get(id);
+        if (cached != null) {
+            known.accept(cached);
+            return;
+        }
+        state.get(Job.endedKey(id), (status, body) -> {
+            if (!serving() || status != 200 && status != 404) {
+                failed.run();
+            } else if (status == 200) {
+                EndedJobs.Ended read = EndedJobs.Ended.read(body.path("v"));
+                ended.put(id, read);
+                known.accept(read);
+            } else {
+                unknown.run();
+            }
+        });
+    }
+
+    void submit(byte[] bytes, Consumer<PeerRecord.Answer> reply) {
+        if (!serving()) {
+            reply.accept(unavailable());
+            return;
+        }
+        JsonNode body = Wire.decode(bytes);
+        String id = body == null ? "" : body.path("name_id").asText("");
+        if (!JobSpec.validId(id)) {
+            reply.accept(refusal(400, "not a map with a valid job id"));
+            return;
+        }
+        Job job = board.jobs.get(id);
+        if (job != null) {
+            join(job, reply);
+            return;
+        }
+        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
+            Job meanwhile = board.jobs.get(id);
+            if (meanwhile != null) {
+                join(meanwhile, reply);
+            } else if (ended.get(id) != null) {
+                reply.accept(ok(200, ended.get(id).answer(id)));
+            } else {
+                accept(body, reply);
+            }
+        }, () -> reply.accept(unavailable()));
+    }
+
+    private void join(Job job, Consumer<PeerRecord.Answer> reply) {
+        if (job.accepted) {
+            reply.accept(state(job, 200));
+        } else {
+            job.waiting.add(reply);
+        }
+    }
+
+    private void accept(JsonNode body, Consumer<PeerRecord.Answer> reply) {
+        JobSpec spec;
+        try {
+            spec = JobSpec.read(body);
+        } catch (JobSpec.Malformed e) {
+            reply.accept(refusal(400, e.getMessage()));
+            return;
+        }
+        Settings.Team team = settings.team(spec.team());
+        if (team == null) {
+            reply.accept(refusal(422, "unknown team"));
+            return;
+        }
+        if (board.types.isEmpty()) {
+            reply.accept(unavailable());
+            return;
+        }
+        if (board.types.stream().noneMatch(spec::fitsType)) {
+            reply.accept(refusal(422, "a task fits no allowed machine type"));
+            return;
+        }
+        double tasks = spec.service() ? spec.tasks() : 1;
+        if (team.cpusMax() > 0 && tasks * spec.cpus() > team.cpusMax()
+                || team.gpusMax() > 0 && tasks * spec.gpus() > team.gpusMax()) {
+            reply.accept(refusal(422, "more than the team's limit"));
+            return;
+        }
+        Job job = new Job(spec, term * ATTEMPTS_PER_TERM + ++numbers, outside.timeOfDay(),
+                Job.chunkTasks(settings.state().valueKb()), 0);
+        job.waiting.add(reply);
+        board.jobs.put(spec.id(), job);
+        ledger.put(job.record, () -> {
+            job.accepted = true;
+            answer(job, ok(201, Messages.jobState(spec.id(), "pending", 0, 0)));
+            changed();
+        });
+    }
+
+    void status(String id, Consumer<PeerRecord.Answer> reply) {
+        if (!serving()) {
+            reply.accept(unavailable());
+            return;
+        }
+        Job job = board.jobs.get(id);
+        if (job != null) {
+            reply.accept(state(job, 200));
+            return;
+        }
+        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
+            Job meanwhile = board.jobs.get(id);
+            reply.accept(meanwhile != null ? state(meanwhile, 200) : refusal(404, "no such job"));
+        }, () -> reply.accept(unavailable()));
+    }
+
+    void withdraw(String id, Consumer<PeerRecord.Answer> reply) {
+        if (!serving()) {
+            reply.accept(unavailable());
+            return;
+        }
+        Job job = board.jobs.get(id);
+        if (job == null) {
+            lookUp(id, e -> reply.accept(ok(200, e.answer(id))),
+                    () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : refusal(404, "no such job")),
+                    () -> reply.accept(unavailable()));
+        } else if (!job.accepted) {
+            reply.accept(unavailable());
+        } else if (job.cancelDurable) {
+            reply.accept(state(job, 200));
+        } else {
+            job.waiting.add(reply); // answered when the job's end, or the cancellation, is durable
+            if (!job.ending && !job.cancelled) {
+                cancel(job);
+            }
+        }
+    }
+
+    private void cancel(Job job) {
+        job.cancelled = true;
+        for (Claim claim : Set.copyOf(new HashSet<>(job.claims.values()))) {
+            if (claim.runsSent == 0) {
+                board.remove(claim, false); // no machine has heard of it
+                ledger.put(job.chunkOf(claim.index), null);
+            }
+        }
+        if (job.claims.isEmpty()) {
+            end(job, "cancelled");
+            return;
+        }
+        ledger.put(job.record, () -> {
+            job.cancelDurable = true;
+            answer(job, state(job, 200));
+            stopAll(job);
+            endIfOver(job);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -0,0 +1,330 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+import stileferry.storage.StateClient;
+
+/**
+ * Who leads. A leased key in the state service names the leader, and a counter beside it gives each leader a term
+ * that never decreases. This class follows the key, runs for it when it is gone, keeps it when it is won, and
+ * remembers the highest term that anybody told.
+ */
+final class Leadership {
+    static final String PREFIX = "a/";
+    static final String LEADER_KEY = "a/lead";
+    static final String TERM_KEY = "a/term";
+
+    private static final Logger LOG = LoggerFactory.getLogger("leadership");
+
+    /** Clocks drift apart by 0.05% at most; this is twice that, and a little for the timers. */
+    private static final double DRIFT = 0.001;
+
+    private static final long TIMER_SLACK_MS = 50;
+    private static final long WATCH_MS = 10_000;
+
+    private final Outside outside;
+    private final StateClient state;
+    private final Settings settings;
+    private final Listener listener;
+    private final long lifeMs;
+    private final long[] ackedAt;
+
+    private long term;
+    private String leader = "";
+    private long leaderHeardAt;
+    private boolean leading;
+    private long leaderRevision;
+    private String lease;
+    private long sureUntil;
+    private long ledSince;
+    private int round;
+
+    /** What the coordinator wants to know. */
+    interface Listener {
+        /** This node leads from now on. */
+        void elected(long term, long leaderRevision);
+
+        /** This node no longer leads. */
+        void deposed();
+    }
+
+    Leadership(Outside outside, StateClient state, Settings settings, Listener listener) {
+        this.outside = outside;
+        this.state = state;
+        this.settings = settings;
+        this.listener = listener;
+        this.lifeMs = Math.max(2000, Math.min(5000, Math.round(settings.workers().reportS() * 1000)));
+        this.ackedAt = new long[settings.peers().size()];
+    }
+
+    void start() {
+        look(++round);
+        ping();
+    }
+
+    long term() {
+        return term;
+    }
+
+    boolean leading() {
+        return leading;
+    }
+
+    /** True while this node's lease cannot have ended, counted from when its renewal was sent. */
+    boolean sure() {
+        return leading && outside.now() < sureUntil;
+    }
+
+    /** The leader's name; empty when nobody is known to lead. */
+    String leader() {
+        return leading ? settings.node() : leader;
+    }
+
+    /** The leader as a peer; null when it is this node or unknown. */
+    Settings.Peer leaderPeer() {
+        if (!leading) {
+            for (Settings.Peer peer : settings.peers()) {
+                if (peer.node().equals(leader)) {
+                    return peer;
+                }
+            }
+        }
+        return null;
+    }
+
+    long leaderHeardAt() {
+        return leaderHeardAt;
+    }
+
+    /** When the last controller acknowledged this term, so that none answers a report with an older one; -1: not yet. */
+    long allAckedAt() {
+        long last = ledSince;
+        for (long at : ackedAt) {
+            if (at < 0) {
+                return -1;
+            }
+            last = Math.max(last, at);
+        }
+        return last;
+    }
+
+    /** Takes what another controller says and answers with what this one knows. */
+    PeerRecord.Term hear(PeerRecord.Term heard) {
+        learn(heard.term(), heard.leader());
+        return new PeerRecord.Term(term, leader());
+    }
+
+    /** Takes a term seen anywhere: in another controller's words or in a worker's report. */
+    void learn(long heardTerm, String heardLeader) {
+        if (heardTerm < term) {
+            return;
+        }
+        if (heardTerm > term) {
+            term = heardTerm;
+            leader = "";
+            if (leading) {
+                LOG.info("term {} exists, this node no longer leads", heardTerm);
+                stepDown();
+            }
+        }
+        if (!heardLeader.isEmpty() && !heardLeader.equals(settings.node()) && !leading) {
+            leader = heardLeader;
+            leaderHeardAt = outside.now();
+        }
+    }
+
+    /** Gives the leadership up, for example after a transaction has failed its comparison. */
+    void resign() {
+        if (leading) {
+            LOG.info("giving up term {}", term);
+            String old = lease;
+            stepDown();
+            state.end(old, (status, body) -> { });
+        }
+    }
+
+    private void stepDown() {
+        leading = false;
+        sureUntil = 0;
+        leader = "";
+        listener.deposed();
+        look(++round);
+    }
+
+    private void later(long ms, int forRound, Runnable task) {
+        outside.after(ms / 2 + outside.random().nextLong(ms), () -> {
+            if (round == forRound) {
+                task.run();
+            }
+        });
+    }
+
+    /** Reads the leader key and decides what to do next. Every step belongs to a round; an outdated one stops. */
+    private void look(int forRound) {
+        state.scan(PREFIX, true, rows -> {
+            if (round != forRound || leading) {
+                return;
+            }
+            if (rows.rows() == null) {
+                later(400, forRound, () -> look(forRound));
+                return;
+            }
+            long termRevision = 0;
+            long storedTerm = 0;
+            JsonNode holder = null;
+            for (StateClient.Row row : rows.rows()) {
+                if (row.key().equals(LEADER_KEY)) {
+                    holder = row.value();
+                } else if (row.key().equals(TERM_KEY)) {
+                    storedTerm = row.value().path("term").asLong();
+                    termRevision = row.revision();
+                }
+            }
+            if (holder == null) {
+                learn(storedTerm, "");
+                run(forRound, storedTerm, termRevision);
+            } else if (holder.path("node").asText().equals(settings.node())) {
+                // left by this node's former life, or by an attempt that was given up: nobody uses it
+                state.end(holder.path("lease").asText(), (s, b) -> later(60, forRound, () -> look(forRound)));
+            } else {
+                learn(holder.path("term").asLong(), holder.path("node").asText());
+                watch(forRound, rows.revision());
+            }
+        });
+    }
+
+    private void watch(int forRound, long revision) {
+        state.watch(PREFIX, revision, WATCH_MS, (status, body) -> {
+            if (round != forRound || leading) {
+                return;
+            }
+            if (status != 200 || body == null) {
+                later(400, forRound, () -> look(forRound));
+            } else if (body.path("events").isEmpty()) {
+                watch(forRound, Math.max(revision, body.path("ledger_rev").asLong()));
+            } else {
+                look(forRound);
+            }
+        });
+    }
+
+    private void run(int forRound, long storedTerm, long termRevision) {
+        long sentAt = outside.now();
+        state.lease(lifeMs, (status, body) -> {
+            if (round != forRound || leading) {
+                return;
+            }
+            if (status != 200 || body == null) {
+                later(400, forRound, () -> look(forRound));
+                return;
+            }
+            String mine = body.path("mooring").asText();
+            long next = Math.max(term, storedTerm) + 1;
+            ObjectNode t = Wire.map();
+            ArrayNode conditions = t.putArray("if");
+            conditions.addObject().put("path", LEADER_KEY).put("entry_rev", 0);
+            conditions.addObject().put("path", TERM_KEY).put("entry_rev", termRevision);
+            ArrayNode apply = t.putArray("apply");
+            ObjectNode put = apply.addObject().put("put", LEADER_KEY);
+            put.set("v", Wire.map().put("node", settings.node()).put("term", next).put("lease", mine));
+            put.set("mooring", body.path("mooring"));
+            apply.addObject().put("put", TERM_KEY).set("v", Wire.map().put("term", next));
+            state.commit(t, 2, true, (s, b) -> {
+                if (round != forRound || leading) {
+                    return;
+                }
+                if (s == 200) {
+                    win(next, b.path("ledger_rev").asLong(), mine, sentAt);
+                } else {
+                    // if the outcome is unknown, the next look finds the key and ends its lease
+                    state.end(mine, (s2, b2) -> { });
+                    later(100, forRound, () -> look(forRound));
+                }
+            });
+        });
+    }
+
+    private void win(long wonTerm, long revision, String wonLease, long sentAt) {
+        if (wonTerm < term) { // a higher term was heard meanwhile: this one would be ignored
+            state.end(wonLease, (s, b) -> { });
+            int now = ++round;
+            later(100, now, () -> look(now));
+            return;
+        }
+        term = wonTerm;
+        leading = true;
+        leader = settings.node();
+        leaderRevision = revision;
+        lease = wonLease;
+        ledSince = outside.now();
+        java.util.Arrays.fill(ackedAt, -1);
+        trust(sentAt);
+        LOG.info("leading in term {}", term);
+        int now = ++round;
+        outside.after(lifeMs / 4, () -> renew(now));
+        announce();
+        listener.elected(term, leaderRevision);
+    }
+
+    private void trust(long sentAt) {
+        sureUntil = sentAt + Math.round(lifeMs * (1 - DRIFT)) - TIMER_SLACK_MS;
+    }
+
+    private void renew(int forRound) {
+        if (round != forRound || !leading) {
+            return;
+        }
+        long sentAt = outside.now();
+        boolean wasSure = sure();
+        state.touch(lease, lifeMs / 2, (status, body) -> {
+            if (round != forRound || !leading) {
+                return;
+            }
+            if (status == 200) {
+                if (!sure()) {
+                    LOG.info("the state service answers again, still leading in term {}", term);
+                }
+                trust(sentAt);
+                outside.after(lifeMs / 4, () -> renew(forRound));
+            } else if (status == 404) {
+                LOG.info("the lease of term {} has ended", term);
+                stepDown();
+            } else {
+                if (wasSure && !sure()) {
+                    LOG.info("not sure to lead any more: the lease of term {} could not be renewed ({})", term, status);
+                }
+                outside.after(lifeMs / 8, () -> renew(forRound));
+            }
+        });
+    }
+
+    /** The leader tells everybody its term once a second; that also tells them that it is there. */
+    private void ping() {
+        if (leading) {
+            announce();
+        }
+        outside.after(1000, this::ping);
+    }
+
+    private void announce() {
+        long told = term;
+        for (int i = 0; i < ackedAt.length; i++) {
+            int peer = i;
+            outside.peer(settings.peers().get(i), new PeerRecord.Term(told, settings.node()), 1000, record -> {
+                if (record instanceof PeerRecord.Term answer) {
+                    if (leading && term == told && answer.term() == told && ackedAt[peer] < 0) {
+                        ackedAt[peer] = outside.now();
+                    }
+                    learn(answer.term(), answer.leader());
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -0,0 +1,134 @@
+package stileferry.coordination;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Report;
+
+/** A machine and everything that may be on it. */
+final class Machine {
+    final String name;
+    String addr = "";
+    String typeName = "";
+    MachineType type;
+    String zone = "";
+    boolean spot;
+
+    /** Heard from in this term. */
+    boolean heard;
+
+    long session;
+    long seq;
+    long token;
+    long heardAt;
+
+    /** When a report of this machine was last answered in this term; 0: never. */
+    long answeredAt;
+
+    /** The highest session that is proven to be over, or will be as soon as the machine is heard again. */
+    long lapsedSession;
+
+    /** Seconds until the cloud takes the machine, or -1. */
+    double noticeS = -1;
+
+    long rentedAt;
+    boolean listed;
+    long missingSince;
+    boolean draining;
+    boolean faulty;
+    boolean deleting;
+    long idleSince;
+    long placeAfter;
+
+    List<Report.TaskState> lastTasks = List.of();
+    final Map<String, Claim> claims = new LinkedHashMap<>();
+
+    /** Reported tasks that no claim stands for: they are killed, and nothing starts here before they are gone. */
+    boolean strays;
+
+    /** Attempts whose outcome is not durable yet, so that they may not be cleared. */
+    final Set<Long> settling = new HashSet<>();
+
+    /** Direct start commands without an answer, by attempt: such a command may be carried out at any time. */
+    final Map<Long, Integer> openRuns = new HashMap<>();
+
+    /** Images that tasks here were seen with, the latest last, with their sizes. */
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+
+    /** Jobs that failed here since a task last succeeded here. */
+    final Map<String, Integer> failures = new HashMap<>();
+
+    private double slowdownSum;
+    private int slowdownCount;
+
+    Machine(String name) {
+        this.name = name;
+    }
+
+    /** True when the worker has taken this leader's term, so that no older leader is obeyed or renews its lease. */
+    boolean accepted(long term) {
+        return token >= term;
+    }
+
+    boolean usable() {
+        return heard && type != null && !draining && !faulty && !deleting && noticeS < 0 && !strays;
+    }
+
+    double usedCpus() {
+        double sum = 0;
+        for (Claim c : claims.values()) {
+            sum += c.job.spec.cpus();
+        }
+        return sum;
+    }
+
+    /** Whether a task of this job fits beside all that may be here, leaving out those that the filter names. */
+    boolean hasRoom(Job job, Set<Claim> without) {
+        double cpus = job.spec.cpus();
+        double gpus = job.spec.gpus();
+        double memory = job.spec.memoryGb();
+        for (Claim c : claims.values()) {
+            if (!without.contains(c)) {
+                cpus += c.job.spec.cpus();
+                gpus += c.job.spec.gpus();
+                memory += c.job.spec.memoryGb();
+            }
+        }
+        return cpus <= type.cpus() + 1e-6 && gpus <= type.gpus() + 1e-6 && memory <= type.memoryGb() + 1e-6;
+    }
+
+    void finished(double runS, double waitS, double thresholdS) {
+        slowdownSum += Math.max(1, (runS + waitS) / Math.max(runS, thresholdS));
+        slowdownCount++;
+    }
+
+    /** Average bounded slowdown of the tasks finished here; 1 without history. */
+    double slowdown() {
+        return slowdownCount == 0 ? 1 : slowdownSum / slowdownCount;
+    }
+
+    void holds(String image, double gb) {
+        images.put(image, gb);
+        double sum = 0;
+        for (double size : images.values()) {
+            sum += size;
+        }
+        while (type != null && sum > type.cacheGb() && images.size() > 1) {
+            String eldest = images.keySet().iterator().next();
+            sum -= images.remove(eldest);
+        }
+    }
+
+    boolean hasImage(String image) {
+        return images.containsKey(image);
+    }
+
+    Set<String> imageNames() {
+        return new LinkedHashSet<>(images.keySet());
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -0,0 +1,172 @@
+package stileferry.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Settings;
+
+/**
+ * Decides what runs where: JR-backfilling orders the jobs, the lowest average bounded slowdown chooses the machine
+ * (Rodero, Guim, Corbalan: "Performance-driven Coordinated Grid Scheduling", section III).
+ */
+final class Placement {
+    /** After the head has waited this long, later jobs may not use machines it could use. */
+    static final long HEAD_PROTECTION_MS = 600_000;
+
+    private final Board board;
+
+    Placement(Board board) {
+        this.board = board;
+    }
+
+    /** Marks the jobs that fit into their team's guarantee together with the team's earlier jobs. */
+    void markGuaranteed() {
+        Map<String, double[]> sums = new HashMap<>();
+        List<Job> byOrder = new ArrayList<>(board.jobs.values());
+        byOrder.sort(Comparator.comparingLong(j -> j.order));
+        for (Job job : byOrder) {
+            Settings.Team team = board.settings.team(job.spec.team());
+            if (team == null || job.cancelled || !job.accepted) {
+                job.withinGuarantee = false;
+                continue;
+            }
+            double[] sum = sums.computeIfAbsent(team.name(), n -> new double[2]);
+            sum[0] += job.unfinished() * job.spec.cpus();
+            sum[1] += job.unfinished() * job.spec.gpus();
+            job.withinGuarantee = sum[0] <= team.cpus() && sum[1] <= Math.max(team.gpus(), 0);
+        }
+    }
+
+    /** Jobs with a task that waits, in queue order. */
+    List<Job> queue(long now) {
+        List<Job> queue = new ArrayList<>();
+        for (Job job : board.jobs.values()) {
+            if (job.nextWaiting(now) >= 0) {
+                queue.add(job);
+            }
+        }
+        queue.sort(Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
+                .thenComparing(j -> !j.withinGuarantee)
+                .thenComparingLong(j -> j.order));
+        return queue;
+    }
+
+    /**
+     * One pass. The head goes first if it fits, else the fitting job with the lowest rank times position, until
+     * nothing fits. Returns the jobs that still wait for room, in queue order.
+     */
+    List<Job> pass(long now, long timeOfDay, BiConsumer<Job, Machine> start) {
+        markGuaranteed();
+        List<Job> queue = queue(now);
+        List<Job> waiting = new ArrayList<>(queue);
+        Set<Job> stuck = new HashSet<>();
+        while (stuck.size() < queue.size()) {
+            Job head = queue.get(0);
+            Job pick = stuck.contains(head) ? null : head;
+            Job protectedHead = pick == null && timeOfDay - head.acceptedAt > HEAD_PROTECTION_MS ? head : null;
+            double lowest = Double.MAX_VALUE;
+            for (int i = 1; pick != head && i < queue.size(); i++) {
+                Job job = queue.get(i);
+                double rank = rank(job) * (i + 1);
+                if (rank < lowest && !stuck.contains(job)) {
+                    lowest = rank;
+                    pick = job;
+                }
+            }
+            Machine machine = choose(pick, protectedHead, now);
+            if (machine == null) {
+                stuck.add(pick);
+                continue;
+            }
+            start.accept(pick, machine);
+            if (pick.nextWaiting(now) < 0) {
+                queue.remove(pick);
+                waiting.remove(pick);
+            }
+        }
+        return waiting;
+    }
+
+    /** Requested CPUs, GPUs and memory over the largest machine's, summed. */
+    double rank(Job job) {
+        double cpus = 1;
+        double gpus = 1;
+        double memory = 1;
+        for (MachineType type : board.types) {
+            cpus = Math.max(cpus, type.cpus());
+            gpus = Math.max(gpus, type.gpus());
+            memory = Math.max(memory, type.memoryGb());
+        }
+        return job.spec.cpus() / cpus + job.spec.gpus() / gpus + job.spec.memoryGb() / memory;
+    }
+
+    private Machine choose(Job job, Job protectedHead, long now) {
+        if (!board.withinLimit(job)) {
+            return null;
+        }
+        Machine best = null;
+        for (Machine m : board.machines.values()) {
+            if (!allowed(job, m, now) || !m.hasRoom(job, Set.of())
+                    || protectedHead != null && protectedHead.spec.fitsType(m.type)) {
+                continue;
+            }
+            if (best == null || better(job, m, best)) {
+                best = m;
+            }
+        }
+        return best;
+    }
+
+    private static boolean better(Job job, Machine m, Machine than) {
+        int bySlowdown = Double.compare(m.slowdown(), than.slowdown());
+        if (bySlowdown != 0) {
+            return bySlowdown < 0;
+        }
+        boolean image = m.hasImage(job.spec.image());
+        if (image != than.hasImage(job.spec.image())) {
+            return image;
+        }
+        if (job.spec.service()) {
+            int byZone = Integer.compare(job.tasksInZone.getOrDefault(m.zone, 0),
+                    job.tasksInZone.getOrDefault(than.zone, 0));
+            if (byZone != 0) {
+                return byZone < 0;
+            }
+        }
+        return m.type.cpus() - m.usedCpus() < than.type.cpus() - than.usedCpus();
+    }
+
+    /** Everything but room: type, zone, kind of machine, the job's other tasks, and the machine's health. */
+    boolean allowed(Job job, Machine m, long now) {
+        JobSpec spec = job.spec;
+        return m.usable()
+                && now >= m.placeAfter
+                && now - m.heardAt < 3000 * board.settings.workers().reportS()
+                && spec.fitsType(m.type)
+                && (spec.zone() == null || spec.zone().equals(m.zone))
+                && (spec.spot() || !m.spot)
+                && zoneAllowed(job, m.zone)
+                && (!job.failedOn.contains(m.name) || job.failedOn.size() >= 3);
+    }
+
+    /** Zone rules against all tasks of the job that may be on machines. */
+    static boolean zoneAllowed(Job job, String zone) {
+        if (job.spec.oneZone()) {
+            for (String used : job.tasksInZone.keySet()) {
+                if (!used.equals(zone)) {
+                    return false;
+                }
+            }
+        }
+        // tasks on machines whose zone is not known yet (after a change of leader) may be in this one
+        int here = job.tasksInZone.getOrDefault(zone, 0) + job.tasksInZone.getOrDefault("", 0);
+        return !job.spec.spread() || here < (job.spec.tasks() + 1) / 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -0,0 +1,436 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Settings;
+import stileferry.storage.Budget;
+
+/** Dealings with the cloud in one term: rents for what waits, returns what is idle, and watches the list. */
+final class Provisioning {
+    private static final Logger LOG = LoggerFactory.getLogger("cloud");
+
+    /** Multiple of the nominal boot time after which a machine is taken for one that never comes up. */
+    private static final double BOOT_PATIENCE = 5;
+
+    private static final int MAX_RENT = 50;
+    private static final int MAX_DELETE = 100;
+
+    /** Share of the CPUs that critical work uses, kept free on ordinary machines for more of it. */
+    private static final double SPARE_SHARE = 0.1;
+
+    private final Board board;
+    private final Outside outside;
+    private final Fleet fleet;
+    private final Budget calls;
+    private final String requestPrefix;
+    private final Map<String, Refusal> refusals = new HashMap<>();
+    private final List<Rental> rentals = new ArrayList<>();
+    private long requests;
+    private boolean listing;
+    private long listedAt = -1;
+    private boolean listedOnce;
+    private boolean deleting;
+    private boolean closed;
+
+    private static final class Refusal {
+        long until;
+        int count;
+    }
+
+    private static final class Rental {
+        final String request;
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        final int count;
+        final long sentAt;
+
+        Rental(String request, MachineType type, String zone, boolean spot, int count, long sentAt) {
+            this.request = request;
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.count = count;
+            this.sentAt = sentAt;
+        }
+    }
+
+    /** Room that exists, is coming, or would have to be rented. */
+    private static final class Bin {
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        double cpus;
+        double gpus;
+        double memory;
+
+        Bin(MachineType type, String zone, boolean spot) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.cpus = type.cpus();
+            this.gpus = type.gpus();
+            this.memory = type.memoryGb();
+        }
+
+        boolean take(JobSpec s) {
+            if (!s.spot() && spot || s.zone() != null && !s.zone().equals(zone) || !s.fitsType(type)
+                    || s.cpus() > cpus + 1e-6 || s.gpus() > gpus + 1e-6 || s.memoryGb() > memory + 1e-6) {
+                return false;
+            }
+            cpus -= s.cpus();
+            gpus -= s.gpus();
+            memory -= s.memoryGb();
+            return true;
+        }
+    }
+
+    Provisioning(Board board, Outside outside, Fleet fleet, long term) {
+        this.board = board;
+        this.outside = outside;
+        this.fleet = fleet;
+        this.calls = new Budget(outside, board.settings.cloud().rps() * 0.8, 1.5);
+        // No other leader has this term, so no name of a rental request is ever used twice.
+        this.requestPrefix = "r-" + board.settings.node() + "-" + term + "-";
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    private void call(String method, String path, ObjectNode body, Outside.Reply reply) {
+        outside.call(board.settings.cloudAddr(), method, path, body, 5000, (status, answer) -> {
+            if (!closed) {
+                reply.done(status, answer);
+            }
+        });
+    }
+
+    // ---- the list
+
+    /** Reads the list again when it is time. */
+    void list() {
+        long now = outside.now();
+        long every = Math.max(2000, Math.round(board.settings.cloud().listLagS() * 500));
+        if (!listing && (listedAt < 0 || now - listedAt > every) && calls.take(1, 0)) {
+            listing = true;
+            page("", new ArrayList<>());
+        }
+    }
+
+    private void page(String from, List<Messages.Listed> seen) {
+        call("GET", "/hosts?most=500" + (from.isEmpty() ? "" : "&from=" + from), null, (status, body) -> {
+            if (status != 200 || body == null) {
+                listing = false;
+                listedAt = outside.now();
+                return;
+            }
+            seen.addAll(Messages.listed(body));
+            if (body.path("more").asBoolean() && !seen.isEmpty()) {
+                page(seen.get(seen.size() - 1).name(), seen);
+                return;
+            }
+            listing = false;
+            listedAt = outside.now();
+            compare(seen);
+        });
+    }
+
+    private void compare(List<Messages.Listed> list) {
+        long now = outside.now();
+        Set<String> names = new HashSet<>();
+        for (Messages.Listed l : list) {
+            names.add(l.name());
+            Machine m = board.machine(l.name());
+            m.listed = true;
+            m.missingSince = 0;
+            if (m.type == null || m.addr.isEmpty()) {
+                m.addr = m.addr.isEmpty() ? l.addr() : m.addr;
+                m.typeName = l.type();
+                m.type = board.type(l.type());
+                m.spot = l.spot();
+                board.setZone(m, l.zone());
+            }
+            if (m.rentedAt == 0) {
+                m.rentedAt = now - Math.round(l.ageS() * 1000);
+            }
+            if (l.state().equals("failed") && !m.deleting) {
+                LOG.info("machine {} has failed", m.name);
+                m.deleting = true;
+            }
+        }
+        for (Machine m : board.machines.values()) {
+            if (m.listed && !names.contains(m.name) && m.missingSince == 0) {
+                m.missingSince = now;
+            }
+        }
+        if (!listedOnce) {
+            listedOnce = true;
+            board.machines.values().forEach(fleet::greet);
+        }
+    }
+
+    // ---- returning
+
+    /** Marks what shall be deleted, and deletes it. */
+    void returnMachines(boolean settled) {
+        long now = outside.now();
+        long lag = Math.round(board.settings.cloud().listLagS() * 1000);
+        long lease = Math.round(board.settings.workers().leaseS() * 1000);
+        double spare = settled ? spareCpus() : 0;
+        for (Machine m : board.machines.values()) {
+            if (m.deleting) {
+                continue;
+            }
+            String why = null;
+            long quiet = now - Math.max(m.heardAt, m.rentedAt);
+            if (m.missingSince != 0 && now - m.missingSince > lag / 2 && (fleet.silent(m) || !m.heard)) {
+                // Listed before and not listed now: it is gone. Deleting it is free and makes that certain.
+                why = "it is not listed any more";
+            } else if (!m.heard && m.type != null && m.claims.isEmpty() && m.rentedAt != 0
+                    && now - m.rentedAt > BOOT_PATIENCE * 1000 * m.type.bootS() && settled) {
+                why = "it never came up";
+            } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce && quiet > 2 * lag + lease) {
+                why = "nobody knows it";
+            } else if (m.heard && m.lapsedSession >= m.session && now - m.heardAt > 3 * lease) {
+                why = "it is silent";
+            } else if (m.heard && m.claims.isEmpty() && settled && !fleet.silent(m)
+                    && (m.noticeS >= 0 || m.faulty || m.draining)) {
+                why = "it is empty and shall not be used";
+            } else if (m.heard && m.claims.isEmpty() && settled && m.type != null && !m.strays
+                    && now - m.idleSince > idleMs(m) && (m.spot || spare >= m.type.cpus())) {
+                why = "it is idle";
+                spare -= m.spot ? 0 : m.type.cpus();
+            }
+            for (Claim c : m.claims.values()) {
+                if (c.job.cancelled && c.stopAskedAt > 0
+                        && now - c.stopAskedAt > 800 * board.settings.workers().cancelS()) {
+                    why = "a cancelled task on it can't be stopped";
+                }
+            }
+            if (why != null) {
+                LOG.info("returning machine {} with {} tasks: {}", m.name, m.claims.size(), why);
+                m.deleting = true;
+            }
+        }
+        delete();
+    }
+
+    /** A machine is kept for a while: renting another takes its boot time, and each costs a minute at least. */
+    private static long idleMs(Machine m) {
+        return Math.max(60_000, Math.round(2000 * m.type.bootS()));
+    }
+
+    private void delete() {
+        List<String> names = new ArrayList<>();
+        for (Machine m : board.machines.values()) {
+            if (m.deleting && names.size() < MAX_DELETE) {
+                names.add(m.name);
+            }
+        }
+        if (deleting || names.isEmpty() || !calls.take(1, 0)) {
+            return;
+        }
+        deleting = true;
+        call("POST", "/hosts/delete", Messages.machines(names), (status, body) -> {
+            deleting = false;
+            if (status == 200) {
+                for (String name : names) {
+                    Machine m = board.machines.get(name);
+                    if (m != null) {
+                        fleet.deleted(m);
+                    }
+                }
+            }
+        });
+    }
+
+    // ---- renting
+
+    /** CPUs free on ordinary machines beyond what is kept for critical work. */
+    private double spareCpus() {
+        double free = 0;
+        double critical = 0;
+        double largest = 0;
+        for (Machine m : board.machines.values()) {
+            if (m.usable() && !m.spot) {
+                free += m.type.cpus() - m.usedCpus();
+            }
+            for (Claim c : m.claims.values()) {
+                if (c.job.spec.priority() == JobSpec.Priority.CRITICAL) {
+                    critical += c.job.spec.cpus();
+                    largest = Math.max(largest, c.job.spec.cpus());
+                }
+            }
+        }
+        return free - Math.max(largest, critical * SPARE_SHARE);
+    }
+
+    /** Rents for the jobs that wait, after counting the machines that boot. */
+    void rent(List<Job> waiting) {
+        repeatRentals();
+        List<Bin> coming = new ArrayList<>();
+        Map<String, Integer> perZone = new HashMap<>();
+        for (Machine m : board.machines.values()) {
+            if (m.deleting || m.type == null) {
+                continue;
+            }
+            perZone.merge(m.zone, 1, Integer::sum);
+            if (!m.heard) {
+                coming.add(new Bin(m.type, m.zone, m.spot));
+            }
+        }
+        for (Rental r : rentals) {
+            for (int i = 0; i < r.count; i++) {
+                coming.add(new Bin(r.type, r.zone, r.spot));
+            }
+            perZone.merge(r.zone, r.count, Integer::sum);
+        }
+        List<Bin> wanted = new ArrayList<>();
+        Map<String, Double> teamCpus = new HashMap<>();
+        for (Job job : waiting) {
+            for (int n = job.waitingCount(); n > 0 && wanted.size() < MAX_RENT; n--) {
+                if (!withinLimit(job, teamCpus) || !fit(job.spec, coming, wanted, perZone)) {
+                    break;
+                }
+            }
+        }
+        Map<String, List<Bin>> groups = new HashMap<>();
+        for (Bin bin : wanted) {
+            groups.computeIfAbsent(group(bin.type, bin.zone, bin.spot), g -> new ArrayList<>()).add(bin);
+        }
+        for (List<Bin> bins : groups.values()) {
+            if (!calls.take(1, 0)) {
+                return;
+            }
+            Bin b = bins.get(0);
+            Rental rental = new Rental(requestPrefix + ++requests, b.type, b.zone, b.spot, bins.size(), outside.now());
+            rentals.add(rental);
+            send(rental);
+        }
+    }
+
+    private boolean withinLimit(Job job, Map<String, Double> teamCpus) {
+        Settings.Team team = board.settings.team(job.spec.team());
+        if (team == null || team.cpusMax() == 0) {
+            return true;
+        }
+        double sum = teamCpus.getOrDefault(team.name(), board.cpusOf(team.name())) + job.spec.cpus();
+        if (sum > team.cpusMax() + 1e-6) {
+            return false;
+        }
+        teamCpus.put(team.name(), sum);
+        return true;
+    }
+
+    private boolean fit(JobSpec spec, List<Bin> coming, List<Bin> wanted, Map<String, Integer> perZone) {
+        for (Bin bin : coming) {
+            if (bin.take(spec)) {
+                return true;
+            }
+        }
+        for (Bin bin : wanted) {
+            if (bin.take(spec)) {
+                return true;
+            }
+        }
+        Bin best = null;
+        for (MachineType type : board.types) {
+            for (String zone : type.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Bin bin = new Bin(type, zone, spot);
+                    Refusal refusal = refusals.get(group(type, zone, spot));
+                    if ((refusal == null || refusal.until <= outside.now()) && bin.take(spec)
+                            && (best == null || cheaper(bin, best, perZone))) {
+                        best = bin;
+                    }
+                }
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        perZone.merge(best.zone, 1, Integer::sum);
+        wanted.add(best);
+        return true;
+    }
+
+    private static boolean cheaper(Bin bin, Bin than, Map<String, Integer> perZone) {
+        double price = bin.spot ? bin.type.spotPrice() : bin.type.price();
+        double other = than.spot ? than.type.spotPrice() : than.type.price();
+        if (price != other) {
+            return price < other;
+        }
+        return perZone.getOrDefault(bin.zone, 0) < perZone.getOrDefault(than.zone, 0);
+    }
+
+    private static String group(MachineType type, String zone, boolean spot) {
+        return type.name() + "|" + zone + "|" + spot;
+    }
+
+    private void repeatRentals() {
+        for (Rental r : List.copyOf(rentals)) {
+            if (outside.now() - r.sentAt > 6000 && calls.take(1, 0)) {
+                rentals.remove(r);
+                Rental again = new Rental(r.request, r.type, r.zone, r.spot, r.count, outside.now());
+                rentals.add(again);
+                send(again);
+            }
+        }
+    }
+
+    private void send(Rental r) {
+        call("POST", "/hosts", Messages.rent(r.request, r.type.name(), r.zone, r.spot, r.count),
+                (status, body) -> answered(r, status, body));
+    }
+
+    private void answered(Rental r, int status, JsonNode body) {
+        String group = group(r.type, r.zone, r.spot);
+        if (status == 200 && body != null) {
+            rentals.removeIf(x -> x.request.equals(r.request));
+            List<String> names = Messages.rented(body);
+            LOG.info("rented {} of {} {} {} in {}", names.size(), r.count, r.spot ? "spot" : "ordinary",
+                    r.type.name(), r.zone);
+            for (String name : names) {
+                Machine m = board.machine(name);
+                m.type = r.type;
+                m.typeName = r.type.name();
+                m.spot = r.spot;
+                m.rentedAt = r.sentAt;
+                board.setZone(m, r.zone);
+            }
+            if (names.size() < r.count) {
+                refuse(group, r);
+            } else {
+                refusals.remove(group);
+            }
+        } else if (status == 503 && body != null && body.path("error").asText().startsWith("no")) {
+            rentals.removeIf(x -> x.request.equals(r.request));
+            refuse(group, r);
+        } else if (status == 400) {
+            rentals.removeIf(x -> x.request.equals(r.request));
+            LOG.error("the cloud calls a rental malformed: {}", body);
+        }
+        // anything else: the outcome is unknown or nothing was done, and the same request is sent again later
+    }
+
+    private void refuse(String group, Rental r) {
+        Refusal refusal = refusals.computeIfAbsent(group, g -> new Refusal());
+        long pause = Math.round(r.type.bootS() * 500) << Math.min(2, refusal.count++);
+        refusal.until = outside.now() + pause;
+        LOG.info("no more {} {} in {}, asking again in {} s", r.spot ? "spot" : "ordinary", r.type.name(), r.zone,
+                pause / 1000);
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/protocol/JobSpec.java
@@ -0,0 +1,164 @@
+package stileferry.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** A submitted job as its user described it. */
+public record JobSpec(
+        String id,
+        String jobClass,
+        String team,
+        boolean service,
+        Priority priority,
+        int tasks,
+        double cpus,
+        double gpus,
+        double memoryGb,
+        String image,
+        double imageGb,
+        List<String> types,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        double estimateS,
+        double checkpointS,
+        double saveS,
+        double deadlineS) {
+
+    /** Most tasks of one job. */
+    public static final int MAX_TASKS = 100_000;
+
+    private static final Pattern ID = Pattern.compile("job-[0-9]{1,18}");
+
+    /** Priorities, the most urgent first. */
+    public enum Priority { CRITICAL, URGENT, NORMAL, IDLE }
+
+    /** A body that is not a well-formed job. */
+    public static final class Malformed extends Exception {
+        Malformed(String message) {
+            super(message);
+        }
+    }
+
+    /** True for ids of the form that users may choose. */
+    public static boolean validId(String id) {
+        return ID.matcher(id).matches();
+    }
+
+    /** Reads and checks a submission. */
+    public static JobSpec read(JsonNode body) throws Malformed {
+        if (body == null || !body.isObject()) {
+            throw new Malformed("the body is not a map");
+        }
+        String id = text(body, "name_id");
+        if (!validId(id)) {
+            throw new Malformed("name_id: bad form");
+        }
+        String kind = text(body, "craft");
+        if (!kind.equals("array") && !kind.equals("standing")) {
+            throw new Malformed("craft: unknown");
+        }
+        JsonNode tasks = body.path("passengers");
+        if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.intValue() < 1
+                || tasks.intValue() > MAX_TASKS) {
+            throw new Malformed("passengers: out of range");
+        }
+        double cpus = amount(body, "cores");
+        double gpus = amount(body, "gpus");
+        double memory = amount(body, "ram_gb");
+        JsonNode deadline = body.path("moor_by_s");
+        return new JobSpec(
+                id, text(body, "berth"), text(body, "crew"), kind.equals("standing"),
+                priority(text(body, "precedence")), tasks.intValue(), cpus, gpus, memory,
+                text(body, "cargo"), amount(body, "pull_gb"), types(body.path("hulls")),
+                nullableText(body, "harbor"), flag(body, "same_place"), flag(body, "apart"), flag(body, "tender"),
+                amount(body, "crossing_s"), amount(body, "waypoint_s"), amount(body, "stow_s"),
+                absent(deadline) ? -1 : amount(body, "moor_by_s"));
+    }
+
+    /** The job in the same form as it was submitted. */
+    public ObjectNode write() {
+        ObjectNode n = Wire.map();
+        n.put("name_id", id).put("berth", jobClass).put("crew", team).put("craft", service ? "standing" : "array");
+        n.put("precedence", priority.name().toLowerCase(java.util.Locale.ROOT)).put("passengers", tasks);
+        n.put("cores", cpus).put("gpus", gpus).put("ram_gb", memoryGb).put("cargo", image).put("pull_gb", imageGb);
+        if (types != null) {
+            types.forEach(n.putArray("hulls")::add);
+        }
+        n.put("harbor", zone).put("same_place", oneZone).put("apart", spread).put("tender", spot);
+        n.put("crossing_s", estimateS).put("waypoint_s", checkpointS).put("stow_s", saveS);
+        if (deadlineS >= 0) {
+            n.put("moor_by_s", deadlineS);
+        }
+        return n;
+    }
+
+    /** True when the machine type is among the allowed ones and one task fits an empty machine of it. */
+    public boolean fitsType(MachineType type) {
+        return (types == null || types.contains(type.name()))
+                && cpus <= type.cpus() && gpus <= type.gpus() && memoryGb <= type.memoryGb()
+                && (zone == null || type.zones().contains(zone));
+    }
+
+    private static Priority priority(String text) throws Malformed {
+        return switch (text) {
+            case "critical" -> Priority.CRITICAL;
+            case "urgent" -> Priority.URGENT;
+            case "normal" -> Priority.NORMAL;
+            case "idle" -> Priority.IDLE;
+            default -> throw new Malformed("precedence: unknown");
+        };
+    }
+
+    private static boolean absent(JsonNode node) {
+        return node.isMissingNode() || node.isNull();
+    }
+
+    private static List<String> types(JsonNode node) throws Malformed {
+        if (absent(node)) {
+            return null;
+        }
+        if (!node.isArray()) {
+            throw new Malformed("hulls: not a list");
+        }
+        List<String> names = new ArrayList<>();
+        for (JsonNode name : node) {
+            if (!name.isTextual()) {
+                throw new Malformed("hulls: not a list of names");
+            }
+            names.add(name.textValue());
+        }
+        return List.copyOf(names);
+    }
+
+    private static String nullableText(JsonNode body, String name) throws Malformed {
+        return absent(body.path(name)) ? null : text(body, name);
+    }
+
+    private static String text(JsonNode body, String name) throws Malformed {
+        JsonNode node = body.path(name);
+        if (!node.isTextual() || node.textValue().isEmpty() || node.textValue().length() > 200) {
+            throw new Malformed(name + ": missing or not a text");
+        }
+        return node.textValue();
+    }
+
+    private static boolean flag(JsonNode body, String name) throws Malformed {
+        if (!body.path(name).isBoolean()) {
+            throw new Malformed(name + ": missing or not true or false");
+        }
+        return body.path(name).booleanValue();
+    }
+
+    private static double amount(JsonNode body, String name) throws Malformed {
+        JsonNode node = body.path(name);
+        if (!node.isNumber() || !Double.isFinite(node.doubleValue()) || node.doubleValue() < 0) {
+            throw new Malformed(name + ": missing, negative or not a number");
+        }
+        return node.doubleValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/protocol/Messages.java
@@ -0,0 +1,89 @@
+package stileferry.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/** The bodies this service writes and the few outside answers it reads, in the wire's own words. */
+public final class Messages {
+    private Messages() {}
+
+    /** A command to a worker. */
+    public record Signal(Kind kind, String task, long attempt, double graceS) {
+        /** What a command asks for. */
+        public enum Kind { RUN, KILL, CLEAR }
+    }
+
+    /** A machine in the cloud's list. */
+    public record Listed(String name, String addr, String type, String zone, boolean spot, String state,
+            double ageS) {}
+
+    /** The body of a user's answer about a job. */
+    public static ObjectNode jobState(String id, String state, int done, int running) {
+        return Wire.map().put("name_id", id).put("tide", state).put("done", done).put("running", running);
+    }
+
+    /** A refusal with its reason. */
+    public static ObjectNode error(String reason) {
+        return Wire.map().put("error", reason);
+    }
+
+    /** The answer that sends a worker to another node. */
+    public static ObjectNode reportTo(String node) {
+        return Wire.map().put("harbormaster", node);
+    }
+
+    /** The answer to a report. */
+    public static ObjectNode signals(long token, Collection<Signal> signals) {
+        ObjectNode body = Wire.map().put("helm", token);
+        ArrayNode list = body.putArray("signals");
+        for (Signal s : signals) {
+            ObjectNode n = list.addObject();
+            n.put("signal", s.kind().name().toLowerCase(java.util.Locale.ROOT));
+            n.put("passenger", s.task()).put("launch", s.attempt());
+            if (s.kind() == Signal.Kind.KILL) {
+                n.put("ashore_s", s.graceS());
+            }
+        }
+        return body;
+    }
+
+    /** A direct command to one session of a worker. */
+    public static ObjectNode commands(long token, long session, Collection<Signal> signals) {
+        return signals(token, signals).put("voyage", session);
+    }
+
+    /** A rental request. */
+    public static ObjectNode rent(String request, String type, String zone, boolean spot, int count) {
+        return Wire.map().put("charter", request).put("hull", type).put("harbor", zone).put("tender", spot)
+                .put("count", count);
+    }
+
+    /** A list of machine names, as deletion asks for it. */
+    public static ObjectNode machines(Collection<String> names) {
+        ObjectNode body = Wire.map();
+        names.forEach(body.putArray("fleet")::add);
+        return body;
+    }
+
+    /** The names in a rental's answer. */
+    public static List<String> rented(JsonNode body) {
+        List<String> names = new ArrayList<>();
+        body.path("fleet").forEach(n -> names.add(n.asText()));
+        return names;
+    }
+
+    /** The machines in one page of the cloud's list. */
+    public static List<Listed> listed(JsonNode body) {
+        List<Listed> machines = new ArrayList<>();
+        for (JsonNode m : body.path("fleet")) {
+            machines.add(new Listed(m.path("name_id").asText(), m.path("addr").asText(), m.path("hull").asText(),
+                    m.path("harbor").asText(), m.path("tender").asBoolean(), m.path("tide").asText(),
+                    m.path("age_s").asDouble()));
+        }
+        return machines;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/protocol/Outside.java
@@ -0,0 +1,41 @@
+package stileferry.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * All that the single owner of the state can see and do outside itself. Every reply comes back on the owner's
+ * own turn, so whoever implements this decides what the world is: sockets, or a simulation.
+ */
+public interface Outside {
+    /** The status of a request whose outcome is unknown. */
+    int NO_ANSWER = 0;
+
+    /** The status of a request that certainly never left this process. */
+    int NOT_SENT = -1;
+
+    /** A steady clock in milliseconds. */
+    long now();
+
+    /** The time of day in milliseconds. */
+    long timeOfDay();
+
+    /** Random numbers, for jitter only. */
+    RandomGenerator random();
+
+    /** Runs something later, on the owner's turn. */
+    void after(long delayMs, Runnable task);
+
+    /** Sends a MessagePack request; the reply comes exactly once. */
+    void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply);
+
+    /** Sends a record to another controller; null stands for no answer. */
+    void peer(Settings.Peer peer, PeerRecord record, long timeoutMs, Consumer<PeerRecord> reply);
+
+    /** Takes the answer to a request; the body may be null. */
+    interface Reply {
+        /** Called with an HTTP status, {@link #NO_ANSWER} or {@link #NOT_SENT}. */
+        void done(int status, JsonNode body);
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -0,0 +1,87 @@
+package stileferry.protocol;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** What controllers send one another, as {@link DataOutputStream} records. */
+public sealed interface PeerRecord {
+
+    /** What a forwarded request asks. */
+    enum Ask { SUBMIT, STATUS, WITHDRAW, REPORT }
+
+    /** A user's or worker's request on its way to the leader. */
+    record Forward(Ask ask, String id, byte[] body) implements PeerRecord {}
+
+    /** The leader's answer to a forwarded request. */
+    record Answer(int status, int retryAfterS, byte[] body) implements PeerRecord {}
+
+    /** The highest term its sender knows and who leads in it (empty: nobody known). */
+    record Term(long term, String leader) implements PeerRecord {}
+
+    /** Writes a record. */
+    static byte[] write(PeerRecord record) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(128);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            if (record instanceof Forward f) {
+                out.writeByte(1);
+                out.writeByte(f.ask().ordinal());
+                out.writeUTF(f.id());
+                writeBytes(out, f.body());
+            } else if (record instanceof Answer a) {
+                out.writeByte(2);
+                out.writeShort(a.status());
+                out.writeInt(a.retryAfterS());
+                writeBytes(out, a.body());
+            } else if (record instanceof Term t) {
+                out.writeByte(3);
+                out.writeLong(t.term());
+                out.writeUTF(t.leader());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Reads a record; null when it is malformed. */
+    static PeerRecord read(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            switch (in.readByte()) {
+                case 1: {
+                    int ask = in.readByte();
+                    if (ask < 0 || ask >= Ask.values().length) {
+                        return null;
+                    }
+                    return new Forward(Ask.values()[ask], in.readUTF(), readBytes(in));
+                }
+                case 2:
+                    return new Answer(in.readShort(), in.readInt(), readBytes(in));
+                case 3:
+                    return new Term(in.readLong(), in.readUTF());
+                default:
+                    return null;
+            }
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private static void writeBytes(DataOutputStream out, byte[] bytes) throws IOException {
+        out.writeInt(bytes.length);
+        out.write(bytes);
+    }
+
+    private static byte[] readBytes(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length < 0 || length > 2 * Wire.MAX_BODY) {
+            throw new IOException("bad length");
+        }
+        byte[] bytes = new byte[length];
+        in.readFully(bytes);
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/protocol/Settings.java
@@ -0,0 +1,50 @@
+package stileferry.protocol;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** What the platform hands over at the start; every figure has been checked by {@link SettingsReader}. */
+public record Settings(
+        String node,
+        String zone,
+        InetSocketAddress clientListen,
+        InetSocketAddress peerListen,
+        List<Peer> peers,
+        String cloudAddr,
+        String stateAddr,
+        List<String> zones,
+        List<Team> teams,
+        List<Objective> objectives,
+        Workers workers,
+        State state,
+        Cloud cloud,
+        int maxSockets) {
+
+    /** Another controller. */
+    public record Peer(String node, String zone, String addr) {}
+
+    /** A team's guaranteed and greatest use; 0 means none. */
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+    /** An aim on starting or finishing, in seconds, for one class of jobs (empty: any). */
+    public record Objective(String kind, String jobClass, double withinS, double share) {}
+
+    /** The workers' times in seconds. */
+    public record Workers(double reportS, double leaseS, double cancelS) {}
+
+    /** The state service's limits. */
+    public record State(double rps, double writeRps, double valueKb, int txnOps) {}
+
+    /** The cloud's limits. */
+    public record Cloud(double rps, double listLagS) {}
+
+    /** Finds a team by its name, or null. */
+    public Team team(String name) {
+        for (Team team : teams) {
+            if (team.name().equals(name)) {
+                return team;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -0,0 +1,196 @@
+package stileferry.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Reads and checks the settings file; collects every problem instead of stopping at the first. */
+public final class SettingsReader {
+    private final List<String> problems = new ArrayList<>();
+
+    private SettingsReader() {}
+
+    /** The settings, or the problems that keep them from being used. */
+    public record Result(Settings settings, List<String> problems) {}
+
+    /** Reads settings from JSON text. */
+    public static Result read(String json) {
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(json);
+        } catch (JsonProcessingException e) {
+            return new Result(null, List.of("not valid JSON: " + e.getOriginalMessage()));
+        }
+        if (root == null || !root.isObject()) {
+            return new Result(null, List.of("the settings must be a JSON object"));
+        }
+        SettingsReader reader = new SettingsReader();
+        Settings settings = reader.settings(root);
+        return new Result(reader.problems.isEmpty() ? settings : null, List.copyOf(reader.problems));
+    }
+
+    private Settings settings(JsonNode root) {
+        String node = text(root, "", "host_name");
+        JsonNode cluster = object(root, "cluster");
+        JsonNode outside = object(root, "outside");
+        JsonNode workers = object(cluster, "workers");
+        JsonNode state = object(cluster, "state");
+        JsonNode cloud = object(cluster, "cloud");
+        JsonNode limits = object(cluster, "machine_limits");
+        return new Settings(
+                node,
+                text(root, "", "zone"),
+                address(root, "", "client_listen"),
+                address(root, "", "peer_bind"),
+                peers(root, node),
+                hostPort(outside, "outside.", "cloud"),
+                hostPort(outside, "outside.", "state"),
+                zones(cluster),
+                teams(cluster),
+                objectives(cluster),
+                new Settings.Workers(
+                        positive(workers, "cluster.workers.", "report_s"),
+                        positive(workers, "cluster.workers.", "lease_s"),
+                        positive(workers, "cluster.workers.", "cancel_s")),
+                new Settings.State(
+                        positive(state, "cluster.state.", "rps"),
+                        positive(state, "cluster.state.", "write_rps"),
+                        positive(state, "cluster.state.", "value_kb"),
+                        (int) atLeast(state, "cluster.state.", "txn_ops", 3)),
+                new Settings.Cloud(
+                        positive(cloud, "cluster.cloud.", "rps"),
+                        atLeast(cloud, "cluster.cloud.", "list_lag_s", 0)),
+                (int) atLeast(limits, "cluster.machine_limits.", "max_sockets", 16));
+    }
+
+    private List<Settings.Peer> peers(JsonNode root, String self) {
+        List<Settings.Peer> peers = new ArrayList<>();
+        Set<String> names = new HashSet<>(Set.of(self));
+        int at = 0;
+        for (JsonNode seed : array(root, "", "seeds")) {
+            String where = "seeds[" + at++ + "].";
+            String name = text(seed, where, "host_name");
+            if (!names.add(name)) {
+                problems.add(where + "host_name: '" + name + "' is named twice");
+            }
+            peers.add(new Settings.Peer(name, text(seed, where, "zone"), hostPort(seed, where, "peer_addr")));
+        }
+        return List.copyOf(peers);
+    }
+
+    private List<String> zones(JsonNode cluster) {
+        List<String> zones = new ArrayList<>();
+        for (JsonNode zone : array(cluster, "cluster.", "zones")) {
+            if (zone.isTextual() && !zone.textValue().isEmpty()) {
+                zones.add(zone.textValue());
+            } else {
+                problems.add("cluster.zones: must hold names");
+            }
+        }
+        return List.copyOf(zones);
+    }
+
+    private List<Settings.Team> teams(JsonNode cluster) {
+        List<Settings.Team> teams = new ArrayList<>();
+        int at = 0;
+        for (JsonNode team : array(cluster, "cluster.", "teams")) {
+            String where = "cluster.teams[" + at++ + "].";
+            teams.add(new Settings.Team(
+                    text(team, where, "name"),
+                    optional(team, where, "cpus"),
+                    optional(team, where, "cpus_max"),
+                    optional(team, where, "gpus"),
+                    optional(team, where, "gpus_max")));
+        }
+        return List.copyOf(teams);
+    }
+
+    private List<Settings.Objective> objectives(JsonNode cluster) {
+        List<Settings.Objective> objectives = new ArrayList<>();
+        for (JsonNode o : cluster.path("objectives")) {
+            objectives.add(new Settings.Objective(
+                    o.path("kind").asText(""), o.path("class").asText(""),
+                    o.path("within_s").asDouble(0), o.path("share").asDouble(0)));
+        }
+        return List.copyOf(objectives);
+    }
+
+    private JsonNode object(JsonNode parent, String name) {
+        JsonNode node = parent.path(name);
+        if (!node.isObject()) {
+            problems.add(name + ": missing or not an object");
+            return MissingNode.getInstance();
+        }
+        return node;
+    }
+
+    private JsonNode array(JsonNode parent, String where, String name) {
+        JsonNode node = parent.path(name);
+        if (!node.isArray()) {
+            problems.add(where + name + ": missing or not a list");
+        }
+        return node;
+    }
+
+    private String text(JsonNode parent, String where, String name) {
+        JsonNode node = parent.path(name);
+        if (!node.isTextual() || node.textValue().isBlank()) {
+            problems.add(where + name + ": missing or not a text");
+            return "";
+        }
+        return node.textValue();
+    }
+
+    private String hostPort(JsonNode parent, String where, String name) {
+        String text = text(parent, where, name);
+        if (!text.isEmpty() && parse(text) == null) {
+            problems.add(where + name + ": '" + text + "' is not ADDRESS:PORT");
+        }
+        return text;
+    }
+
+    private InetSocketAddress address(JsonNode parent, String where, String name) {
+        return parse(hostPort(parent, where, name));
+    }
+
+    /** Takes "10.0.0.1:8080" apart; null when it has another form. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return port < 1 || port > 65535 ? null : new InetSocketAddress(text.substring(0, colon), port);
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    private double optional(JsonNode parent, String where, String name) {
+        return parent.path(name).isMissingNode() ? 0 : atLeast(parent, where, name, 0);
+    }
+
+    private double positive(JsonNode parent, String where, String name) {
+        double value = atLeast(parent, where, name, 0);
+        if (value == 0) {
+            problems.add(where + name + ": must be above 0");
+        }
+        return value;
+    }
+
+    private double atLeast(JsonNode parent, String where, String name, double least) {
+        JsonNode node = parent.path(name);
+        if (!node.isNumber() || !Double.isFinite(node.doubleValue()) || node.doubleValue() < least) {
+            problems.add(where + name + ": missing, or not a number of at least " + least);
+            return Math.max(1, least);
+        }
+        return node.doubleValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/storage/Budget.java
@@ -0,0 +1,33 @@
+package stileferry.storage;
+
+import stileferry.protocol.Outside;
+
+/** A token bucket that keeps this client under a service's published rate. */
+public final class Budget {
+    private final Outside outside;
+    private final double perMs;
+    private final double most;
+    private double tokens;
+    private long filledAt;
+
+    /** A bucket for so many a second with a burst worth so many seconds. */
+    public Budget(Outside outside, double perSecond, double burstS) {
+        this.outside = outside;
+        this.perMs = perSecond / 1000;
+        this.most = Math.max(1, perSecond * burstS);
+        this.tokens = most;
+        this.filledAt = outside.now();
+    }
+
+    /** Takes tokens if that leaves the reserve (a share of the burst) untouched. */
+    public boolean take(double count, double reserveShare) {
+        long now = outside.now();
+        tokens = Math.min(most, tokens + (now - filledAt) * perMs);
+        filledAt = now;
+        if (tokens < Math.min(count, most) + most * reserveShare && tokens < most) {
+            return false;
+        }
+        tokens -= count;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -0,0 +1,271 @@
+package stileferry.storage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Wire;
+
+/**
+ * The leader's durable records. Changes are marked, packed into conditional transactions and answered once they
+ * are durable. Every transaction compares the leader key and the revision of each key it writes, so that one sent
+ * by a former leader, or applied late, changes nothing.
+ */
+public final class Ledger {
+    private static final Logger LOG = LoggerFactory.getLogger("ledger");
+
+    private static final int MAX_IN_FLIGHT = 4;
+
+    /** Bytes of a transaction, counted in JSON form, kept well below the service's 64 KiB. */
+    private static final int MAX_BYTES = Wire.MAX_BODY * 3 / 4;
+
+    private final Outside outside;
+    private final StateClient state;
+    private final String fenceKey;
+    private final long fenceRevision;
+    private final String stampPrefix;
+    private final Runnable onLost;
+    private final ArrayDeque<Entry> dirty = new ArrayDeque<>();
+    private int inFlight;
+    private long stamps;
+    private boolean closed;
+
+    /** One key; its value is made anew from the owner's state whenever it is written. */
+    public static final class Entry {
+        private final String key;
+        private final Supplier<ObjectNode> value;
+        private long revision;
+        private boolean marked;
+        private boolean flying;
+        private boolean deleted;
+        private Entry partner;
+        private List<Runnable> waiting = new ArrayList<>();
+
+        /** A key with the revision last read (0: does not exist). */
+        public Entry(String key, long revision, Supplier<ObjectNode> value) {
+            this.key = key;
+            this.revision = revision;
+            this.value = value;
+        }
+
+        /** True when the key exists in the service or is about to. */
+        public boolean stored() {
+            return revision != 0 || marked || flying;
+        }
+    }
+
+    private static final class Transaction {
+        final List<Entry> entries = new ArrayList<>();
+        final List<Runnable> actions = new ArrayList<>();
+        final ObjectNode body = Wire.map();
+        final String stamp;
+        int bytes;
+        boolean ambiguous;
+        int tries;
+
+        Transaction(String stamp) {
+            this.stamp = stamp;
+        }
+    }
+
+    /** A ledger for one term, fenced by the leader key at the revision it was written with. */
+    public Ledger(Outside outside, StateClient state, String fenceKey, long fenceRevision, long term,
+            Runnable onLost) {
+        this.outside = outside;
+        this.state = state;
+        this.fenceKey = fenceKey;
+        this.fenceRevision = fenceRevision;
+        this.stampPrefix = Long.toString(term, 36) + "-";
+        this.onLost = onLost;
+    }
+
+    /** Marks a key as changed; the action runs once the change is durable. */
+    public void put(Entry entry, Runnable onDurable) {
+        mark(entry, onDurable);
+    }
+
+    /** Deletes a key. */
+    public void delete(Entry entry, Runnable onDurable) {
+        entry.deleted = true;
+        mark(entry, onDurable);
+    }
+
+    /** Puts one key and deletes another in the same transaction. */
+    public void move(Entry put, Entry delete, Runnable onDurable) {
+        put.partner = delete;
+        delete.partner = put;
+        delete(delete, null);
+        put(put, onDurable);
+    }
+
+    /** Changes not yet sent. */
+    public int backlog() {
+        return dirty.size();
+    }
+
+    /** Stops everything; no action runs any more. */
+    public void close() {
+        closed = true;
+        dirty.clear();
+    }
+
+    private void mark(Entry entry, Runnable onDurable) {
+        if (onDurable != null) {
+            entry.waiting.add(onDurable);
+        }
+        if (!entry.marked) {
+            entry.marked = true;
+            dirty.add(entry);
+        }
+    }
+
+    /** Sends what is marked, as far as transactions may be in flight. */
+    public void flush() {
+        while (!closed && inFlight < MAX_IN_FLIGHT) {
+            Transaction t = pack();
+            if (t == null) {
+                return;
+            }
+            inFlight++;
+            send(t);
+        }
+    }
+
+    private Transaction pack() {
+        int limit = state.limits().txnOps();
+        Transaction t = null;
+        List<Entry> passed = new ArrayList<>();
+        for (int n = dirty.size(); n > 0 && !dirty.isEmpty(); n--) {
+            Entry entry = dirty.poll();
+            if (!entry.marked) {
+                continue; // went along with its partner
+            }
+            Entry partner = entry.partner != null && entry.partner.marked ? entry.partner : null;
+            if (entry.flying || entry.partner != null && entry.partner.flying) {
+                passed.add(entry);
+                continue;
+            }
+            int need = partner == null ? 1 : 2;
+            if (t == null) {
+                t = new Transaction(stampPrefix + Long.toString(stamps++, 36));
+                ArrayNode conditions = t.body.putArray("if");
+                conditions.addObject().put("path", fenceKey).put("entry_rev", fenceRevision);
+                t.body.putArray("apply");
+            } else if (t.entries.size() + need > limit || t.bytes > MAX_BYTES / 2) {
+                passed.add(entry);
+                break;
+            }
+            add(t, entry);
+            if (partner != null) {
+                add(t, partner);
+            }
+        }
+        for (int i = passed.size() - 1; i >= 0; i--) {
+            dirty.addFirst(passed.get(i));
+        }
+        return t;
+    }
+
+    private void add(Transaction t, Entry entry) {
+        entry.marked = false;
+        entry.flying = true;
+        t.entries.add(entry);
+        t.actions.addAll(entry.waiting);
+        entry.waiting = new ArrayList<>();
+        ((ArrayNode) t.body.get("if")).addObject().put("path", entry.key).put("entry_rev", entry.revision);
+        ArrayNode apply = (ArrayNode) t.body.get("apply");
+        if (entry.deleted) {
+            apply.addObject().put("delete", entry.key);
+            t.bytes += 200;
+        } else {
+            ObjectNode value = entry.value.get().put("x", t.stamp);
+            apply.addObject().put("put", entry.key).set("v", value);
+            t.bytes += 200 + value.toString().length();
+        }
+    }
+
+    private void send(Transaction t) {
+        if (closed) {
+            return;
+        }
+        state.commit(t.body, t.entries.size(), false, (status, body) -> {
+            if (closed) {
+                return;
+            }
+            switch (status) {
+                case 200 -> applied(t, body.path("ledger_rev").asLong());
+                case 409 -> {
+                    if (t.ambiguous) {
+                        verify(t, 0, 0);
+                    } else {
+                        lost();
+                    }
+                }
+                case 400 -> {
+                    LOG.error("the state service calls a transaction malformed: {}", body);
+                    lost();
+                }
+                default -> {
+                    // 429 and 503 say that nothing was done; silence says nothing at all
+                    t.ambiguous |= status != 429 && status != 503 && status != Outside.NOT_SENT;
+                    again(t, () -> send(t));
+                }
+            }
+        });
+    }
+
+    private void again(Transaction t, Runnable next) {
+        long pause = Math.min(1000, 50L << Math.min(5, t.tries++));
+        outside.after(pause / 2 + outside.random().nextLong(pause), next);
+    }
+
+    /** Learns whether an unanswered transaction was the one that made its own repetition fail. */
+    private void verify(Transaction t, int at, long revision) {
+        if (closed) {
+            return;
+        }
+        if (at == t.entries.size()) {
+            applied(t, revision);
+            return;
+        }
+        Entry entry = t.entries.get(at);
+        state.get(entry.key, (status, body) -> {
+            if (closed) {
+                return;
+            }
+            if (status == 404 && entry.deleted) {
+                verify(t, at + 1, revision);
+            } else if (status == 200 && !entry.deleted && stamp(body).equals(t.stamp)) {
+                verify(t, at + 1, body.path("entry_rev").asLong());
+            } else if (status == 200 || status == 404) {
+                lost();
+            } else {
+                again(t, () -> verify(t, at, revision));
+            }
+        });
+    }
+
+    private static String stamp(JsonNode body) {
+        return body.path("v").path("x").asText();
+    }
+
+    private void applied(Transaction t, long revision) {
+        inFlight--;
+        for (Entry entry : t.entries) {
+            entry.flying = false;
+            entry.revision = entry.deleted ? 0 : revision;
+        }
+        t.actions.forEach(Runnable::run);
+    }
+
+    private void lost() {
+        close();
+        onLost.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/storage/StateClient.java
@@ -0,0 +1,144 @@
+package stileferry.storage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+
+/** The state service's requests, kept under its rates; leadership goes first and has a reserve. */
+public final class StateClient {
+    /** Share of the published rates that one controller allows itself; the others need a little too. */
+    private static final double SHARE = 0.85;
+
+    private static final double RESERVE = 0.2;
+    private static final long PUMP_MS = 20;
+
+    private final Outside outside;
+    private final String addr;
+    private final Settings.State limits;
+    private final Budget requests;
+    private final Budget writes;
+    private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+    private boolean pumping;
+
+    private record Waiting(int writeCount, Runnable send) {}
+
+    /** One row of a read. */
+    public record Row(String key, JsonNode value, long revision) {}
+
+    /** A whole prefix as read in pages; null rows mean that the read failed. */
+    public record Rows(List<Row> rows, long revision) {}
+
+    /** A client of the service that the settings name. */
+    public StateClient(Outside outside, Settings settings) {
+        this.outside = outside;
+        this.addr = settings.stateAddr();
+        this.limits = settings.state();
+        this.requests = new Budget(outside, limits.rps() * SHARE, 0.5);
+        this.writes = new Budget(outside, limits.writeRps() * SHARE, 1.0);
+    }
+
+    /** The service's limits. */
+    public Settings.State limits() {
+        return limits;
+    }
+
+    /** How long an ordinary answer is waited for. */
+    public long patienceMs() {
+        return 1500;
+    }
+
+    /** Reads one key. */
+    public void get(String key, Outside.Reply reply) {
+        send(0, false, () -> outside.call(addr, "GET", "/kv/" + key, null, patienceMs(), reply));
+    }
+
+    /** Reads all keys with a prefix, page by page. */
+    public void scan(String prefix, boolean urgent, Consumer<Rows> done) {
+        page(prefix, "", urgent, new ArrayList<>(), done);
+    }
+
+    private void page(String prefix, String from, boolean urgent, List<Row> rows, Consumer<Rows> done) {
+        String path = "/kv?starts=" + prefix + (from.isEmpty() ? "" : "&from=" + from) + "&most=500";
+        send(0, urgent, () -> outside.call(addr, "GET", path, null, 2 * patienceMs(), (status, body) -> {
+            if (status != 200 || body == null) {
+                done.accept(new Rows(null, 0));
+                return;
+            }
+            String last = from;
+            for (JsonNode row : body.path("rows")) {
+                last = row.path("path").asText();
+                rows.add(new Row(last, row.path("v"), row.path("entry_rev").asLong()));
+            }
+            if (body.path("more").asBoolean() && !last.equals(from)) {
+                page(prefix, last, urgent, rows, done);
+            } else {
+                done.accept(new Rows(rows, body.path("ledger_rev").asLong()));
+            }
+        }));
+    }
+
+    /** Sends a transaction. */
+    public void commit(ObjectNode transaction, int writeCount, boolean urgent, Outside.Reply reply) {
+        send(writeCount, urgent,
+                () -> outside.call(addr, "POST", "/commit", transaction, patienceMs(), reply));
+    }
+
+    /** Asks for a lease. */
+    public void lease(long lifeMs, Outside.Reply reply) {
+        send(0, true, () -> outside.call(addr, "POST", "/leases", Wire.map().put("life_ms", lifeMs),
+                patienceMs(), reply));
+    }
+
+    /** Renews a lease; not queued, as its time counts from the sending. */
+    public void touch(String lease, long timeoutMs, Outside.Reply reply) {
+        requests.take(1, -1);
+        outside.call(addr, "POST", "/leases/" + lease + "/touch", Wire.map(), timeoutMs, reply);
+    }
+
+    /** Ends a lease. */
+    public void end(String lease, Outside.Reply reply) {
+        send(0, true, () -> outside.call(addr, "DELETE", "/leases/" + lease, null, patienceMs(), reply));
+    }
+
+    /** Waits for changes below a prefix. */
+    public void watch(String prefix, long from, long blockMs, Outside.Reply reply) {
+        send(0, true, () -> outside.call(addr, "GET",
+                "/watch?starts=" + prefix + "&from=" + from + "&block_ms=" + blockMs, null,
+                blockMs + 2 * patienceMs(), reply));
+    }
+
+    private void send(int writeCount, boolean urgent, Runnable send) {
+        if (urgent) {
+            requests.take(1, -1);
+            writes.take(writeCount, -1);
+            send.run();
+            return;
+        }
+        queue.add(new Waiting(writeCount, send));
+        pump();
+    }
+
+    private void pump() {
+        while (!queue.isEmpty()) {
+            Waiting next = queue.peek();
+            if (next.writeCount > 0 && !writes.take(next.writeCount, 0) || !requests.take(1, RESERVE)) {
+                if (!pumping) {
+                    pumping = true;
+                    outside.after(PUMP_MS, () -> {
+                        pumping = false;
+                        pump();
+                    });
+                }
+                return;
+            }
+            queue.poll();
+            next.send.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/transport/Bodies.java
@@ -0,0 +1,25 @@
+package stileferry.transport;
+
+import io.undertow.server.HttpServerExchange;
+import java.util.function.Consumer;
+
+/** Reads request bodies up to a limit, without waiting and without reading what is too long. */
+final class Bodies {
+    private Bodies() {}
+
+    static void read(HttpServerExchange exchange, int limit, Consumer<byte[]> handler) {
+        if (exchange.getRequestContentLength() > limit) {
+            tooLarge(exchange);
+            return;
+        }
+        exchange.setMaxEntitySize(limit); // also for bodies in chunks, whose length nobody announces
+        exchange.getRequestReceiver().receiveFullBytes(
+                (e, body) -> handler.accept(body),
+                (e, problem) -> tooLarge(e));
+    }
+
+    private static void tooLarge(HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        UserServer.refuse(exchange, 413, "the body is too large");
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/transport/HttpCaller.java
@@ -0,0 +1,230 @@
+package stileferry.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+import stileferry.protocol.Outside;
+
+/** HTTP requests over kept connections, each with a time limit. All of it runs on the one IO thread. */
+final class HttpCaller {
+    private static final int MAX_IDLE = 8;
+
+    /** No answer that this service asks for is larger, but for a watch's, which has no limit of its own. */
+    private static final int MAX_ANSWER = 4 * 1024 * 1024;
+
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+    private final UndertowClient client = UndertowClient.getInstance();
+    private final Map<String, ArrayDeque<ClientConnection>> idle = new HashMap<>();
+
+    /** Takes an answer. */
+    interface Answer {
+        /** Called once, with an HTTP status, {@link Outside#NO_ANSWER} or {@link Outside#NOT_SENT}. */
+        void done(int status, byte[] body);
+    }
+
+    HttpCaller(XnioIoThread thread, ByteBufferPool buffers) {
+        this.thread = thread;
+        this.buffers = buffers;
+    }
+
+    void call(String addr, String method, String path, byte[] body, long timeoutMs, Answer answer) {
+        new Call(addr, method, path, body, answer).start(timeoutMs);
+    }
+
+    /** One request from its connection to its answer. */
+    private final class Call implements ClientCallback<ClientExchange> {
+        private final String addr;
+        private final String method;
+        private final String path;
+        private final byte[] body;
+        private final Answer answer;
+        private final ByteArrayOutputStream received = new ByteArrayOutputStream(256);
+        private XnioExecutor.Key timer;
+        private ClientConnection connection;
+        private boolean sent;
+        private boolean over;
+
+        Call(String addr, String method, String path, byte[] body, Answer answer) {
+            this.addr = addr;
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.answer = answer;
+        }
+
+        void start(long timeoutMs) {
+            timer = thread.executeAfter(this::fail, timeoutMs, TimeUnit.MILLISECONDS);
+            ArrayDeque<ClientConnection> kept = idle.get(addr);
+            ClientConnection reuse = null;
+            while (kept != null && reuse == null && !kept.isEmpty()) {
+                ClientConnection c = kept.pollLast();
+                reuse = c.isOpen() ? c : null;
+            }
+            if (reuse != null) {
+                send(reuse);
+                return;
+            }
+            client.connect(new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection c) {
+                    if (over) {
+                        IoUtils.safeClose(c);
+                    } else {
+                        send(c);
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail();
+                }
+            }, URI.create("http://" + addr), thread, buffers, OptionMap.EMPTY);
+        }
+
+        private void send(ClientConnection c) {
+            connection = c;
+            sent = true;
+            ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+            request.getRequestHeaders().put(Headers.HOST, addr);
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+            if (body.length > 0) {
+                request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+            }
+            c.sendRequest(request, this);
+        }
+
+        @Override
+        public void completed(ClientExchange exchange) {
+            exchange.setResponseListener(new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange e) {
+                    receive(e);
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail();
+                }
+            });
+            write(exchange.getRequestChannel(), ByteBuffer.wrap(body));
+        }
+
+        @Override
+        public void failed(IOException e) {
+            fail();
+        }
+
+        private void write(StreamSinkChannel out, ByteBuffer data) {
+            try {
+                while (data.hasRemaining()) {
+                    if (out.write(data) == 0) {
+                        out.getWriteSetter().set(ch -> write(ch, data));
+                        out.resumeWrites();
+                        return;
+                    }
+                }
+                out.shutdownWrites();
+                if (!out.flush()) {
+                    out.getWriteSetter().set(ch -> flush(ch));
+                    out.resumeWrites();
+                } else {
+                    out.suspendWrites();
+                }
+            } catch (IOException e) {
+                fail();
+            }
+        }
+
+        private void flush(StreamSinkChannel out) {
+            try {
+                if (out.flush()) {
+                    out.suspendWrites();
+                }
+            } catch (IOException e) {
+                fail();
+            }
+        }
+
+        private void receive(ClientExchange exchange) {
+            int status = exchange.getResponse().getResponseCode();
+            StreamSourceChannel in = exchange.getResponseChannel();
+            in.getReadSetter().set(ch -> read(ch, status));
+            read(in, status);
+        }
+
+        private void read(StreamSourceChannel in, int status) {
+            try (PooledByteBuffer pooled = buffers.allocate()) {
+                ByteBuffer buffer = pooled.getBuffer();
+                while (!over) {
+                    buffer.clear();
+                    int n = in.read(buffer);
+                    if (n == 0) {
+                        in.resumeReads();
+                        return;
+                    }
+                    if (n < 0) {
+                        finish(status);
+                        return;
+                    }
+                    buffer.flip();
+                    byte[] chunk = new byte[n];
+                    buffer.get(chunk);
+                    received.writeBytes(chunk);
+                    if (received.size() > MAX_ANSWER) {
+                        fail();
+                    }
+                }
+            } catch (IOException e) {
+                fail();
+            }
+        }
+
+        private void finish(int status) {
+            if (over) {
+                return;
+            }
+            over = true;
+            timer.remove();
+            if (connection.isOpen()) {
+                ArrayDeque<ClientConnection> kept = idle.computeIfAbsent(addr, a -> new ArrayDeque<>());
+                if (kept.size() < MAX_IDLE) {
+                    kept.addLast(connection);
+                } else {
+                    IoUtils.safeClose(connection);
+                }
+            }
+            answer.done(status, received.toByteArray());
+        }
+
+        private void fail() {
+            if (over) {
+                return;
+            }
+            over = true;
+            timer.remove();
+            IoUtils.safeClose(connection);
+            answer.done(sent ? Outside.NO_ANSWER : Outside.NOT_SENT, new byte[0]);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/transport/NetworkOutside.java
@@ -0,0 +1,69 @@
+package stileferry.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.xnio.XnioIoThread;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+
+/** The real outside: sockets, clocks and timers, with replies put into the owner's queue. */
+final class NetworkOutside implements Outside {
+    static final String PEER_PATH = "/peer";
+
+    private static final byte[] NOTHING = new byte[0];
+
+    private final Owner owner;
+    private final XnioIoThread thread;
+    private final HttpCaller http;
+    private final RandomGenerator random = new SplittableRandom();
+    private volatile boolean closed;
+
+    NetworkOutside(Owner owner, XnioIoThread thread, HttpCaller http) {
+        this.owner = owner;
+        this.thread = thread;
+        this.http = http;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    @Override
+    public long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public long timeOfDay() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public RandomGenerator random() {
+        return random;
+    }
+
+    @Override
+    public void after(long delayMs, Runnable task) {
+        if (!closed) {
+            thread.executeAfter(() -> owner.submit(task), Math.max(1, delayMs), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply) {
+        http.call(addr, method, path, body == null ? NOTHING : Wire.encode(body), timeoutMs, (status, bytes) ->
+                owner.submit(() -> reply.done(status, bytes.length == 0 ? null : Wire.decode(bytes))));
+    }
+
+    @Override
+    public void peer(Settings.Peer peer, PeerRecord record, long timeoutMs, Consumer<PeerRecord> reply) {
+        http.call(peer.addr(), "POST", PEER_PATH, PeerRecord.write(record), timeoutMs, (status, bytes) ->
+                owner.submit(() -> reply.accept(status == 200 ? PeerRecord.read(bytes) : null)));
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/transport/Owner.java
@@ -0,0 +1,73 @@
+package stileferry.transport;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** The queue of commands for the owner of the state, drained in batches on the one IO thread. */
+final class Owner {
+    private static final Logger LOG = LoggerFactory.getLogger("owner");
+    private static final int CAPACITY = 16 * 1024;
+    private static final int BATCH = 256;
+
+    private final XnioIoThread thread;
+    private final ManyToOneConcurrentArrayQueue<Runnable> queue = new ManyToOneConcurrentArrayQueue<>(CAPACITY);
+    private final AtomicBoolean scheduled = new AtomicBoolean();
+    private Runnable afterBatch = () -> { };
+
+    Owner(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    /** Sets what runs after each batch; called before the first command. */
+    void afterBatch(Runnable task) {
+        afterBatch = task;
+    }
+
+    /** Queues a command that may be refused when the owner is far behind. */
+    boolean offer(Runnable command) {
+        if (!queue.offer(command)) {
+            return false;
+        }
+        schedule();
+        return true;
+    }
+
+    /** Queues a command that must not be lost: a reply or a timer. */
+    void submit(Runnable command) {
+        if (!offer(command)) {
+            thread.execute(() -> submit(command));
+        }
+    }
+
+    private void schedule() {
+        if (scheduled.compareAndSet(false, true)) {
+            thread.execute(this::drain);
+        }
+    }
+
+    private void drain() {
+        scheduled.set(false);
+        for (int i = 0; i < BATCH; i++) {
+            Runnable command = queue.poll();
+            if (command == null) {
+                break;
+            }
+            run(command);
+        }
+        run(afterBatch);
+        if (!queue.isEmpty()) {
+            schedule();
+        }
+    }
+
+    private static void run(Runnable command) {
+        try {
+            command.run();
+        } catch (RuntimeException e) {
+            LOG.error("a command failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/transport/PeerServer.java
@@ -0,0 +1,37 @@
+package stileferry.transport;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import stileferry.coordination.Coordinator;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Wire;
+
+/** The address for the other controllers. */
+final class PeerServer implements HttpHandler {
+    private final Owner owner;
+    private final Coordinator coordinator;
+
+    PeerServer(Owner owner, Coordinator coordinator) {
+        this.owner = owner;
+        this.coordinator = coordinator;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        if (!exchange.getRequestPath().equals(NetworkOutside.PEER_PATH)) {
+            UserServer.refuse(exchange, 404, "no such path");
+            return;
+        }
+        Bodies.read(exchange, 2 * Wire.MAX_BODY, body -> {
+            PeerRecord record = PeerRecord.read(body);
+            if (record == null) {
+                UserServer.refuse(exchange, 400, "not a record");
+                return;
+            }
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> owner.submit(() ->
+                    coordinator.peer(record, answer ->
+                            UserServer.send(exchange, 200, 0, PeerRecord.write(answer)))));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/transport/UserServer.java
@@ -0,0 +1,116 @@
+package stileferry.transport;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import stileferry.coordination.Coordinator;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Messages;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.PeerRecord.Ask;
+import stileferry.protocol.Wire;
+
+/** The address for users, workers and health checks: takes requests apart and hands them to the owner. */
+final class UserServer implements HttpHandler {
+    private static final byte[] NOTHING = new byte[0];
+    private static final String WORK = "/work";
+    private static final String WITHDRAW = "/withdraw";
+
+    private final Owner owner;
+    private final Coordinator coordinator;
+
+    UserServer(Owner owner, Coordinator coordinator) {
+        this.owner = owner;
+        this.coordinator = coordinator;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        if (path.equals("/v1/report")) {
+            post(exchange, body -> report(exchange, body));
+        } else if (path.equals("/ready")) {
+            get(exchange, () -> owned(exchange, () -> send(exchange, coordinator.ready() ? 200 : 503, 0, NOTHING)));
+        } else if (path.equals(WORK)) {
+            post(exchange, body -> user(exchange, Ask.SUBMIT, "", body));
+        } else if (path.startsWith(WORK + "/")) {
+            String id = path.substring(WORK.length() + 1);
+            if (id.endsWith(WITHDRAW)) {
+                String job = id.substring(0, id.length() - WITHDRAW.length());
+                post(exchange, body -> job(exchange, Ask.WITHDRAW, job));
+            } else {
+                get(exchange, () -> job(exchange, Ask.STATUS, id));
+            }
+        } else {
+            refuse(exchange, 404, "no such path");
+        }
+    }
+
+    private void job(HttpServerExchange exchange, Ask ask, String id) {
+        if (JobSpec.validId(id)) {
+            user(exchange, ask, id, NOTHING);
+        } else {
+            refuse(exchange, 404, "no such job");
+        }
+    }
+
+    private void user(HttpServerExchange exchange, Ask ask, String id, byte[] body) {
+        owned(exchange, () -> coordinator.user(ask, id, body, answer -> send(exchange, answer)));
+    }
+
+    private void report(HttpServerExchange exchange, byte[] body) {
+        owned(exchange, () -> coordinator.report(body,
+                (status, node) -> send(exchange, status, 0, Wire.encode(node))));
+    }
+
+    /** Hands the request to the owner; the exchange stays open until somebody sends. */
+    private void owned(HttpServerExchange exchange, Runnable command) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            if (!owner.offer(command)) {
+                send(exchange, 503, 1, Wire.encode(Messages.error("too much to do")));
+            }
+        });
+    }
+
+    private static void get(HttpServerExchange exchange, Runnable handler) {
+        if (exchange.getRequestMethod().equals(Methods.GET)) {
+            handler.run();
+        } else {
+            refuse(exchange, 405, "only GET here");
+        }
+    }
+
+    private static void post(HttpServerExchange exchange, Consumer<byte[]> handler) {
+        if (exchange.getRequestMethod().equals(Methods.POST)) {
+            Bodies.read(exchange, Wire.MAX_BODY, handler);
+        } else {
+            refuse(exchange, 405, "only POST here");
+        }
+    }
+
+    static void refuse(HttpServerExchange exchange, int status, String reason) {
+        send(exchange, status, 0, Wire.encode(Messages.error(reason)));
+    }
+
+    private static void send(HttpServerExchange exchange, PeerRecord.Answer answer) {
+        send(exchange, answer.status(), answer.retryAfterS(), answer.body());
+    }
+
+    static void send(HttpServerExchange exchange, int status, int retryAfterS, byte[] body) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        if (retryAfterS > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
+        }
+        if (body.length > 0) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+}
