--- a/src/main/java/stileferry/cli/Main.java
+++ b/src/main/java/stileferry/cli/Main.java
@@ -24,6 +24,7 @@
         // Read by the logger when the first class asks for one, so it has to be set before any other class loads.
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", LEVELS.getOrDefault(level, "info"));
+        System.setProperty("org.jboss.logging.provider", "slf4j");
         int code = new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
         if (code != Serve.STAYS_UP) {
             System.exit(code);
