--- a/src/main/java/stileferry/coordination/Claim.java
+++ b/src/main/java/stileferry/coordination/Claim.java
@@ -14,6 +14,9 @@
     final long session;
     final String name;
 
+    /** What tells this start of this task from all others. */
+    final String key;
+
     /** When this leader decided; 0 for a claim read from the state service. */
     final long orderedAt;
 
@@ -40,6 +43,7 @@
         this.machine = machine;
         this.session = session;
         this.name = job.spec.id() + "/" + index;
+        this.key = name + "#" + attempt;
         this.orderedAt = orderedAt;
     }
 
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -109,6 +109,11 @@
         return now - leaderSeenAt < READY_GRACE_MS;
     }
 
+    /** Whether this node leads. */
+    public boolean leads() {
+        return leader != null;
+    }
+
     // ---- users
 
     /** Takes a user's request: here when this node leads, else by way of the leader. */
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -137,7 +137,7 @@
             } else if (t != null) {
                 see(m, c, t, now);
             } else if (c.stopping() && inOrder && c.durable && c.stage == null && m.accepted(term)
-                    && !m.openRuns.containsKey(c.attempt)) {
+                    && !m.openRuns.containsKey(c.key)) {
                 // A worker has one report in flight: every answer with a start in it was carried out or dropped
                 // before this report, no direct start is unanswered, and older leaders are not obeyed any more.
                 events.gone(c, "never started");
@@ -186,8 +186,8 @@
             }
             if (t.stage() != Report.Stage.EXITED) {
                 signals.add(new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0));
-            } else if (inAnswer && m.accepted(term) && !m.settling.contains(t.attempt())
-                    && !m.openRuns.containsKey(t.attempt())) {
+            } else if (inAnswer && m.accepted(term) && !m.settling.contains(t.key())
+                    && !m.openRuns.containsKey(t.key())) {
                 // Only in answers to reports: a direct one could overtake an answer that repeats the start, and
                 // after a clear a repeated start runs the task once more.
                 signals.add(new Signal(Signal.Kind.CLEAR, t.task(), t.attempt(), 0));
@@ -198,12 +198,12 @@
                 continue;
             }
             boolean lateCancel = c.job.cancelled && now - c.stopAskedAt > cancelMs / 2;
-            if (c.stage == null && (!c.stopping() || m.openRuns.containsKey(c.attempt) && inAnswer && !lateCancel)) {
+            if (c.stage == null && (!c.stopping() || m.openRuns.containsKey(c.key) && inAnswer && !lateCancel)) {
                 // For a stopped task an unanswered start is made harmless by letting the worker know the attempt.
                 signals.add(new Signal(Signal.Kind.RUN, c.name, c.attempt, 0));
                 c.runsSent++;
                 if (!inAnswer) {
-                    m.openRuns.merge(c.attempt, 1, Integer::sum);
+                    m.openRuns.merge(c.key, 1, Integer::sum);
                 }
             }
             if (c.stopping() && c.stage != Report.Stage.EXITED
@@ -261,7 +261,7 @@
                     if (status == 200 || status == 409 || status == Outside.NOT_SENT) {
                         for (Signal s : signals) {
                             if (s.kind() == Signal.Kind.RUN) {
-                                m.openRuns.computeIfPresent(s.attempt(), (a, n) -> n == 1 ? null : n - 1);
+                                m.openRuns.computeIfPresent(s.key(), (a, n) -> n == 1 ? null : n - 1);
                             }
                         }
                     }
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -146,7 +146,7 @@
 
     /** The next task that waits and may start now; -1 when there is none. */
     int nextWaiting(long now) {
-        if (cancelled || ending || !accepted) {
+        if (cancelled || ending || !accepted || spec.gang() && !gangReady(now)) {
             return -1;
         }
         for (int i = taken.nextClearBit(0); i < spec.tasks(); i = taken.nextClearBit(i + 1)) {
@@ -158,6 +158,19 @@
         return -1;
     }
 
+    /** A gang starts whole: not while a task of it may be on a machine, or has to pause after a failure. */
+    private boolean gangReady(long now) {
+        if (!claims.isEmpty()) {
+            return false;
+        }
+        for (Retry retry : retries.values()) {
+            if (retry.notBefore > now) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     int waitingCount() {
         return cancelled || ending || !accepted ? 0 : spec.tasks() - taken.cardinality();
     }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -209,10 +209,19 @@
         }
     }
 
-    private void start(Job job, Machine machine) {
+    private void start(Job job, List<Machine> machines) {
         long now = outside.now();
         int index = job.nextWaiting(now);
-        Claim claim = new Claim(job, index, term * ATTEMPTS_PER_TERM + ++numbers, machine.name, machine.session, now);
+        // The tasks of a gang find each other by their attempt, so it is the same for all of them.
+        long attempt = term * ATTEMPTS_PER_TERM + ++numbers;
+        for (Machine machine : machines) {
+            start(job, index, attempt, machine, now);
+            index = job.taken.nextClearBit(index);
+        }
+    }
+
+    private void start(Job job, int index, long attempt, Machine machine, long now) {
+        Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
         board.add(claim);
         ledger.put(job.chunkOf(index), () -> {
             claim.durable = true;
@@ -239,7 +248,7 @@
         Job job = claim.job;
         long now = outside.now();
         boolean done = t.why().equals("done") && !job.spec.service();
-        machine.settling.add(t.attempt());
+        machine.settling.add(t.key());
         if (done) {
             if (claim.orderedAt > 0 && claim.runningAt > 0) {
                 machine.finished((now - claim.runningAt) / 1000.0, (claim.runningAt - claim.orderedAt) / 1000.0,
@@ -251,7 +260,7 @@
         } else {
             failed(machine, claim, t, now);
         }
-        settle(claim, done, () -> machine.settling.remove(t.attempt()));
+        settle(claim, done, () -> machine.settling.remove(t.key()));
     }
 
     private void failed(Machine machine, Claim claim, Report.TaskState t, long now) {
@@ -271,6 +280,18 @@
             }
             default -> { }
         }
+        stopGang(claim);
+    }
+
+    /** One task of a gang that does not run stops and requeues them all. */
+    private void stopGang(Claim claim) {
+        if (claim.job.spec.gang()) {
+            for (Claim other : List.copyOf(claim.job.claims.values())) {
+                if (other != claim && !other.stopping()) {
+                    stop(other, claim.job.spec.saveS());
+                }
+            }
+        }
     }
 
     /**
@@ -299,6 +320,7 @@
         if (claim.job.claims.get(claim.index) == claim) {
             LOG.debug("{} is not on {} any more: {}", claim.name, claim.machine, proof);
             settle(claim, false, null);
+            stopGang(claim);
         }
     }
 
@@ -486,7 +508,7 @@
             reply.accept(refusal(422, "a task fits no allowed machine type"));
             return;
         }
-        double tasks = spec.service() ? spec.tasks() : 1;
+        double tasks = spec.kind() == JobSpec.Kind.ARRAY ? 1 : spec.tasks();
         if (team.cpusMax() > 0 && tasks * spec.cpus() > team.cpusMax()
                 || team.gpusMax() > 0 && tasks * spec.gpus() > team.gpusMax()) {
             reply.accept(refusal(422, "more than the team's limit"));
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -51,11 +51,11 @@
     /** Reported tasks that no claim stands for: they are killed, and nothing starts here before they are gone. */
     boolean strays;
 
-    /** Attempts whose outcome is not durable yet, so that they may not be cleared. */
-    final Set<Long> settling = new HashSet<>();
+    /** Starts whose outcome is not durable yet, so that they may not be cleared. */
+    final Set<String> settling = new HashSet<>();
 
-    /** Direct start commands without an answer, by attempt: such a command may be carried out at any time. */
-    final Map<Long, Integer> openRuns = new HashMap<>();
+    /** Direct start commands without an answer: such a command may be carried out at any time. */
+    final Map<String, Integer> openRuns = new HashMap<>();
 
     /** Images that tasks here were seen with, the latest last, with their sizes. */
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -62,7 +62,7 @@
      * One pass. The head goes first if it fits, else the fitting job with the lowest rank times position, until
      * nothing fits. Returns the jobs that still wait for room, in queue order.
      */
-    List<Job> pass(long now, long timeOfDay, BiConsumer<Job, Machine> start) {
+    List<Job> pass(long now, long timeOfDay, BiConsumer<Job, List<Machine>> start) {
         markGuaranteed();
         List<Job> queue = queue(now);
         List<Job> waiting = new ArrayList<>(queue);
@@ -80,12 +80,13 @@
                     pick = job;
                 }
             }
-            Machine machine = choose(pick, protectedHead, now);
-            if (machine == null) {
+            List<Machine> machines = pick.spec.gang() ? chooseAll(pick, protectedHead, now)
+                    : chooseOne(pick, protectedHead, now);
+            if (machines.isEmpty()) {
                 stuck.add(pick);
                 continue;
             }
-            start.accept(pick, machine);
+            start.accept(pick, machines);
             if (pick.nextWaiting(now) < 0) {
                 queue.remove(pick);
                 waiting.remove(pick);
@@ -107,6 +108,32 @@
         return job.spec.cpus() / cpus + job.spec.gpus() / gpus + job.spec.memoryGb() / memory;
     }
 
+    private List<Machine> chooseOne(Job job, Job protectedHead, long now) {
+        Machine machine = choose(job, protectedHead, now);
+        return machine == null ? List.of() : List.of(machine);
+    }
+
+    /** Machines for every task of a gang, or none: tried out with claims that are taken back at once. */
+    private List<Machine> chooseAll(Job job, Job protectedHead, long now) {
+        List<Machine> machines = new ArrayList<>();
+        List<Claim> tried = new ArrayList<>();
+        int index = job.taken.nextClearBit(0);
+        while (index < job.spec.tasks()) {
+            Machine machine = choose(job, protectedHead, now);
+            if (machine == null) {
+                machines.clear();
+                break;
+            }
+            machines.add(machine);
+            Claim claim = new Claim(job, index, 0, machine.name, machine.session, now);
+            board.add(claim);
+            tried.add(claim);
+            index = job.taken.nextClearBit(index);
+        }
+        tried.forEach(c -> board.remove(c, false));
+        return machines;
+    }
+
     private Machine choose(Job job, Job protectedHead, long now) {
         if (!board.withinLimit(job)) {
             return null;
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -45,6 +45,9 @@
             if (!mayPreempt(job, timeOfDay, urgentAfterMs) || !board.withinLimit(job)) {
                 continue;
             }
+            if (job.spec.gang() && job.waitingCount() > 1) {
+                continue; // room for a part of a gang helps nobody, so nothing is stopped for it
+            }
             int tasks = job.waitingCount();
             for (int n = 0; n < tasks; n++) {
                 if (!makeRoom(job, now, going, promised, stops)) {
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -24,6 +24,9 @@
     /** Multiple of the nominal boot time after which a machine is taken for one that never comes up. */
     private static final double BOOT_PATIENCE = 5;
 
+    /** A machine that is deleted costs a minute at least, so it may as well wait for work that long. */
+    private static final long PAID_MS = 55_000;
+
     private static final int MAX_RENT = 50;
     private static final int MAX_DELETE = 100;
 
@@ -210,7 +213,7 @@
                     && (m.noticeS >= 0 || m.faulty || m.draining)) {
                 why = "it is empty and shall not be used";
             } else if (m.heard && m.claims.isEmpty() && settled && m.type != null && !m.strays
-                    && now - m.idleSince > idleMs(m) && (m.spot || spare >= m.type.cpus())) {
+                    && now - m.idleSince > idleMs(m) && now - m.rentedAt > PAID_MS && (m.spot || spare >= m.type.cpus())) {
                 why = "it is idle";
                 spare -= m.spot ? 0 : m.type.cpus();
             }
@@ -228,9 +231,9 @@
         delete();
     }
 
-    /** A machine is kept for a while: renting another takes its boot time, and each costs a minute at least. */
+    /** A machine is kept for a while: renting another takes its boot time. */
     private static long idleMs(Machine m) {
-        return Math.max(60_000, Math.round(2000 * m.type.bootS()));
+        return Math.round(2000 * m.type.bootS());
     }
 
     private void delete() {
--- a/src/main/java/stileferry/protocol/JobSpec.java
+++ b/src/main/java/stileferry/protocol/JobSpec.java
@@ -11,7 +11,7 @@
         String id,
         String jobClass,
         String team,
-        boolean service,
+        Kind kind,
         Priority priority,
         int tasks,
         double cpus,
@@ -34,6 +34,17 @@
 
     private static final Pattern ID = Pattern.compile("job-[0-9]{1,18}");
 
+    /** Independent tasks; replicas that run until cancelled; tasks that only run all together. */
+    public enum Kind {
+        ARRAY("array"), SERVICE("standing"), GANG("group");
+
+        private final String word;
+
+        Kind(String word) {
+            this.word = word;
+        }
+    }
+
     /** Priorities, the most urgent first. */
     public enum Priority { CRITICAL, URGENT, NORMAL, IDLE }
 
@@ -58,10 +69,6 @@
         if (!validId(id)) {
             throw new Malformed("name_id: bad form");
         }
-        String kind = text(body, "craft");
-        if (!kind.equals("array") && !kind.equals("standing")) {
-            throw new Malformed("craft: unknown");
-        }
         JsonNode tasks = body.path("passengers");
         if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.intValue() < 1
                 || tasks.intValue() > MAX_TASKS) {
@@ -72,7 +79,7 @@
         double memory = amount(body, "ram_gb");
         JsonNode deadline = body.path("moor_by_s");
         return new JobSpec(
-                id, text(body, "berth"), text(body, "crew"), kind.equals("standing"),
+                id, text(body, "berth"), text(body, "crew"), kind(text(body, "craft")),
                 priority(text(body, "precedence")), tasks.intValue(), cpus, gpus, memory,
                 text(body, "cargo"), amount(body, "pull_gb"), types(body.path("hulls")),
                 nullableText(body, "harbor"), flag(body, "same_place"), flag(body, "apart"), flag(body, "tender"),
@@ -83,7 +90,7 @@
     /** The job in the same form as it was submitted. */
     public ObjectNode write() {
         ObjectNode n = Wire.map();
-        n.put("name_id", id).put("berth", jobClass).put("crew", team).put("craft", service ? "standing" : "array");
+        n.put("name_id", id).put("berth", jobClass).put("crew", team).put("craft", kind.word);
         n.put("precedence", priority.name().toLowerCase(java.util.Locale.ROOT)).put("passengers", tasks);
         n.put("cores", cpus).put("gpus", gpus).put("ram_gb", memoryGb).put("cargo", image).put("pull_gb", imageGb);
         if (types != null) {
@@ -104,6 +111,25 @@
                 && (zone == null || type.zones().contains(zone));
     }
 
+    /** True for replicas that run until their job is cancelled. */
+    public boolean service() {
+        return kind == Kind.SERVICE;
+    }
+
+    /** True when the tasks only run all together. */
+    public boolean gang() {
+        return kind == Kind.GANG;
+    }
+
+    private static Kind kind(String text) throws Malformed {
+        for (Kind kind : Kind.values()) {
+            if (kind.word.equals(text)) {
+                return kind;
+            }
+        }
+        throw new Malformed("craft: unknown");
+    }
+
     private static Priority priority(String text) throws Malformed {
         return switch (text) {
             case "critical" -> Priority.CRITICAL;
--- a/src/main/java/stileferry/protocol/Messages.java
+++ b/src/main/java/stileferry/protocol/Messages.java
@@ -15,6 +15,11 @@
     public record Signal(Kind kind, String task, long attempt, double graceS) {
         /** What a command asks for. */
         public enum Kind { RUN, KILL, CLEAR }
+
+        /** What tells this start of this task from all others. */
+        public String key() {
+            return task + "#" + attempt;
+        }
     }
 
     /** A machine in the cloud's list. */
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -13,7 +13,12 @@
     public enum Stage { FETCHING, RUNNING, SAVING, EXITED }
 
     /** One task of a report; {@code why} is empty unless it has exited. */
-    public record TaskState(String task, long attempt, Stage stage, String why, boolean saved) {}
+    public record TaskState(String task, long attempt, Stage stage, String why, boolean saved) {
+        /** What tells this start of this task from all others. */
+        public String key() {
+            return task + "#" + attempt;
+        }
+    }
 
     /** Reads a report; null when it is malformed. A missing notice reads as -1. */
     public static Report read(JsonNode n) {
@@ -27,7 +32,7 @@
                 case "running" -> Stage.RUNNING;
                 case "saving" -> Stage.SAVING;
                 case "exited" -> Stage.EXITED;
-                default -> Stage.FETCHING;
+                default -> Stage.FETCHING; // also a gang's task that waits for the others
             };
             tasks.add(new TaskState(t.path("passenger").asText(), t.path("launch").asLong(), stage,
                     t.path("landing_cause").asText(""), t.path("kept").asBoolean(false)));
--- /dev/null
+++ b/src/main/java/stileferry/standin/Cloud.java
@@ -0,0 +1,140 @@
+package stileferry.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Wire;
+
+/** A stand-in for the cloud with one machine type, after the published protocol. Time comes from outside. */
+public final class Cloud {
+    private final String type;
+    private final double cpus;
+    private final double memoryGb;
+    private final double bootS;
+    private final List<String> zones;
+    private final int perZone;
+    private final long lagMs;
+    private final BiFunction<String, String, Worker> boot;
+    private final Consumer<Worker> remove;
+    private final TreeMap<String, Machine> machines = new TreeMap<>();
+    private final Map<String, List<String>> requests = new HashMap<>();
+    private int created;
+    private long now;
+
+    private static final class Machine {
+        String zone;
+        boolean spot;
+        long rentedAt;
+        long upAt;
+        Worker worker;
+    }
+
+    /** A cloud with so many machines of its type in each zone; it is told how machines come and go. */
+    public Cloud(String type, double cpus, double memoryGb, double bootS, List<String> zones, int perZone, long lagMs,
+            BiFunction<String, String, Worker> boot, Consumer<Worker> remove) {
+        this.type = type;
+        this.cpus = cpus;
+        this.memoryGb = memoryGb;
+        this.bootS = bootS;
+        this.zones = zones;
+        this.perZone = perZone;
+        this.lagMs = lagMs;
+        this.boot = boot;
+        this.remove = remove;
+    }
+
+    /** Lets time pass: machines come up. */
+    public void tick(long time) {
+        now = time;
+        machines.forEach((name, m) -> {
+            if (m.worker == null && now >= m.upAt) {
+                m.worker = boot.apply(name, m.zone + "|" + m.spot);
+            }
+        });
+    }
+
+    /** Takes a machine without asking. */
+    public void take(String name) {
+        Machine m = machines.remove(name);
+        if (m != null && m.worker != null) {
+            remove.accept(m.worker);
+        }
+    }
+
+    /** Names of the machines that are up. */
+    public List<String> up() {
+        return machines.entrySet().stream().filter(e -> e.getValue().worker != null).map(Map.Entry::getKey).toList();
+    }
+
+    /** Carries a request out. */
+    public void request(String method, String path, JsonNode body, Outside.Reply reply) {
+        if (path.equals("/machine_types")) {
+            ObjectNode answer = Wire.map();
+            ObjectNode t = answer.putArray("hulls").addObject().put("sku", type).put("cores", cpus).put("gpus", 0)
+                    .put("ram_gb", memoryGb).put("local_gb", 50.0).put("fetch_gb_per_s", 1.0).put("rate", 1.0)
+                    .put("spot_price", 0.4).put("startup_s", bootS);
+            zones.forEach(t.putArray("harbors")::add);
+            reply.done(200, answer);
+        } else if (path.equals("/hosts")) {
+            rent(body, reply);
+        } else if (path.equals("/hosts/delete")) {
+            body.path("fleet").forEach(n -> take(n.asText()));
+            reply.done(200, Wire.map());
+        } else if (path.startsWith("/hosts?")) {
+            list(Query.of(path), reply);
+        } else {
+            reply.done(400, null);
+        }
+    }
+
+    private void rent(JsonNode body, Outside.Reply reply) {
+        String request = body.path("charter").asText();
+        List<String> names = requests.get(request);
+        if (names == null) {
+            names = new ArrayList<>();
+            String zone = body.path("harbor").asText();
+            boolean spot = body.path("tender").asBoolean();
+            long there = machines.values().stream().filter(m -> m.zone.equals(zone) && m.spot == spot).count();
+            for (int i = 0; i < body.path("count").asInt() && there + i < perZone; i++) {
+                Machine m = new Machine();
+                m.zone = zone;
+                m.spot = spot;
+                m.rentedAt = now;
+                m.upAt = now + Math.round(bootS * 1000);
+                String name = String.format("host-%06d", created++);
+                machines.put(name, m);
+                names.add(name);
+            }
+            if (names.isEmpty()) {
+                reply.done(503, Wire.map().put("error", "no capacity"));
+                return;
+            }
+            requests.put(request, names);
+        }
+        ObjectNode answer = Wire.map();
+        names.forEach(answer.putArray("fleet")::add);
+        reply.done(200, answer);
+    }
+
+    private void list(Query q, Outside.Reply reply) {
+        ObjectNode answer = Wire.map().put("more", false);
+        ArrayNode list = answer.putArray("fleet");
+        machines.tailMap(q.text("from"), false).forEach((name, m) -> {
+            if (now - m.rentedAt >= lagMs) {
+                list.addObject().put("name_id", name).put("addr", m.worker == null ? "" : m.worker.addr())
+                        .put("hull", type).put("harbor", m.zone).put("tender", m.spot)
+                        .put("tide", m.worker == null ? "booting" : "running")
+                        .put("age_s", (now - m.rentedAt) / 1000.0);
+            }
+        });
+        reply.done(200, answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -0,0 +1,286 @@
+package stileferry.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Wire;
+
+/** A stand-in for the worker on one machine, after the published protocol. Time comes from outside. */
+public final class Worker {
+    private static final long FETCH_MS = 800;
+
+    private final String machine;
+    private final String addr;
+    private final String type;
+    private final String zone;
+    private final boolean spot;
+    private final long leaseMs;
+    private final Function<String, JobSpec> directory;
+    private final Watcher watcher;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private long session = 1;
+    private long seq;
+    private long token;
+    private long leaseFrom;
+    private long now;
+    private double cpusFree;
+    private double memoryFree;
+    private boolean faulty;
+    private boolean immortal;
+    private double noticeS = -1;
+    private boolean changed;
+
+    /** Told what really happens on the machine. */
+    public interface Watcher {
+        /** A task has its image and is on the machine from now on. */
+        void started(String task, Worker worker);
+
+        /** A task is not on the machine any more. */
+        void ended(String task, Worker worker);
+    }
+
+    private static final class Task {
+        final String name;
+        final long attempt;
+        final JobSpec spec;
+        String state = "pulling";
+        String why = "";
+        long until;
+
+        Task(String name, long attempt, JobSpec spec) {
+            this.name = name;
+            this.attempt = attempt;
+            this.spec = spec;
+        }
+
+        boolean there() {
+            return state.equals("running") || state.equals("saving");
+        }
+    }
+
+    /** A worker that begins now. */
+    public Worker(String machine, String addr, String type, String zone, boolean spot, double cpus, double memoryGb,
+            long leaseMs, long now, Function<String, JobSpec> directory, Watcher watcher) {
+        this.machine = machine;
+        this.addr = addr;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.cpusFree = cpus;
+        this.memoryFree = memoryGb;
+        this.leaseMs = leaseMs;
+        this.leaseFrom = now;
+        this.now = now;
+        this.directory = directory;
+        this.watcher = watcher;
+    }
+
+    public String machine() {
+        return machine;
+    }
+
+    public String addr() {
+        return addr;
+    }
+
+    public String type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    /** From now on every task that starts fails, or no longer does. */
+    public void faulty(boolean value) {
+        faulty = value;
+    }
+
+    /** For tests of the tests: the worker no longer minds its lease, as a broken one might. */
+    public void ignoreLease() {
+        immortal = true;
+    }
+
+    /** The cloud will take the machine. */
+    public void notice(double seconds) {
+        noticeS = seconds;
+        changed = true;
+    }
+
+    /** True once after something changed that is worth a report. */
+    public boolean takeChanged() {
+        boolean was = changed;
+        changed = false;
+        return was;
+    }
+
+    /** The machine is gone with all that was on it. */
+    public void destroy() {
+        forgetAll();
+    }
+
+    private void forgetAll() {
+        for (Task t : List.copyOf(tasks.values())) {
+            exit(t, "halted");
+        }
+        tasks.clear();
+    }
+
+    /** Lets time pass: the lease may end, images arrive, tasks complete. */
+    public void tick(long time) {
+        now = time;
+        if (now - leaseFrom > leaseMs && !immortal) {
+            forgetAll();
+            session++;
+            leaseFrom = now;
+            changed = true;
+        }
+        for (Task t : List.copyOf(tasks.values())) {
+            if (t.state.equals("exited") || now < t.until) {
+                continue;
+            }
+            if (t.state.equals("pulling")) {
+                t.state = "running";
+                t.until = t.spec.service() ? Long.MAX_VALUE : now + Math.round(t.spec.estimateS() * 1000);
+                watcher.started(t.name, this);
+                changed = true;
+                if (faulty) {
+                    exit(t, "error");
+                }
+            } else {
+                exit(t, t.state.equals("saving") ? "halted" : "done");
+            }
+        }
+    }
+
+    private void exit(Task t, String why) {
+        if (t.state.equals("exited")) {
+            return;
+        }
+        boolean there = t.there();
+        t.state = "exited";
+        t.why = why;
+        cpusFree += t.spec.cpus();
+        memoryFree += t.spec.memoryGb();
+        changed = true;
+        if (there) {
+            watcher.ended(t.name, this);
+        }
+    }
+
+    /** The worker's report, as it stands. */
+    public ObjectNode report() {
+        ObjectNode n = Wire.map().put("vessel", machine).put("addr", addr).put("hull", type).put("harbor", zone)
+                .put("tender", spot).put("voyage", session).put("log_seq", ++seq).put("helm", token);
+        if (noticeS >= 0) {
+            n.put("recall_s", noticeS);
+        } else {
+            n.putNull("recall_s");
+        }
+        ArrayNode list = n.putArray("passengers");
+        for (Task t : tasks.values()) {
+            ObjectNode o = list.addObject().put("passenger", t.name).put("launch", t.attempt).put("tide", t.state);
+            if (t.state.equals("exited")) {
+                o.put("landing_cause", t.why);
+            }
+        }
+        return n;
+    }
+
+    /** The session in which the next report is sent. */
+    public long session() {
+        return session;
+    }
+
+    /** Takes the 200 answer to a report that was sent in this session at this time. */
+    public void answered(JsonNode body, long sentSession, long sentAt) {
+        if (body == null || !body.path("helm").isIntegralNumber() || sentSession != session
+                || body.path("helm").asLong() < token) {
+            return;
+        }
+        accept(body.path("helm").asLong());
+        leaseFrom = Math.max(leaseFrom, sentAt);
+        execute(body.path("signals"));
+    }
+
+    private void accept(long seen) {
+        changed |= seen > token;
+        token = seen;
+    }
+
+    /** Carries direct commands out; the status of the answer, whose body is the report. */
+    public int commands(JsonNode body) {
+        if (!body.path("helm").isIntegralNumber() || !body.path("voyage").isIntegralNumber()) {
+            return 400;
+        }
+        if (body.path("helm").asLong() < token || body.path("voyage").asLong() != session) {
+            return 409;
+        }
+        accept(body.path("helm").asLong());
+        execute(body.path("signals"));
+        return 200;
+    }
+
+    private void execute(JsonNode signals) {
+        for (JsonNode s : signals) {
+            String name = s.path("passenger").asText();
+            long attempt = s.path("launch").asLong();
+            String key = name + "#" + attempt;
+            Task t = tasks.get(key);
+            switch (s.path("signal").asText()) {
+                case "run" -> {
+                    if (t == null) {
+                        run(name, attempt, key);
+                    }
+                }
+                case "kill" -> {
+                    if (t != null && !t.state.equals("exited")) {
+                        kill(t, s.path("ashore_s").asDouble());
+                    }
+                }
+                case "clear" -> {
+                    if (t != null && t.state.equals("exited")) {
+                        tasks.remove(key);
+                    }
+                }
+                default -> { }
+            }
+        }
+    }
+
+    private void kill(Task t, double graceS) {
+        boolean saves = t.state.equals("running") && t.spec.checkpointS() > 0 && graceS >= t.spec.saveS();
+        if (saves) {
+            t.state = "saving";
+            t.until = now + Math.round(t.spec.saveS() * 1000);
+        } else if (!t.state.equals("saving") || graceS == 0) {
+            exit(t, "halted");
+        }
+    }
+
+    private void run(String name, long attempt, String key) {
+        JobSpec spec = directory.apply(name.substring(0, name.indexOf('/')));
+        changed = true;
+        Task task = new Task(name, attempt, spec);
+        tasks.put(key, task);
+        boolean busy = tasks.values().stream()
+                .anyMatch(o -> o != task && o.name.equals(name) && !o.state.equals("exited"));
+        if (spec == null || busy || spec.cpus() > cpusFree + 1e-6 || spec.memoryGb() > memoryFree + 1e-6) {
+            task.state = "exited";
+            task.why = spec == null ? "unknown" : busy ? "busy" : "full";
+            return;
+        }
+        cpusFree -= spec.cpus();
+        memoryFree -= spec.memoryGb();
+        task.until = now + FETCH_MS;
+    }
+}
--- /dev/null
+++ b/src/test/java/stileferry/coordination/World.java
@@ -0,0 +1,490 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+import stileferry.protocol.SettingsReader;
+import stileferry.protocol.Wire;
+import stileferry.standin.Cloud;
+import stileferry.standin.StateService;
+import stileferry.standin.Worker;
+
+/**
+ * A simulated world around real coordinators: one clock, seeded chance, stand-ins for all outside systems, and the
+ * rules checked whenever something happens that could break one.
+ */
+final class World {
+    static final String STATE = "10.9.0.1:1";
+    static final String CLOUD = "10.9.0.2:1";
+    static final double CANCEL_S = 20;
+
+    final SplittableRandom random;
+    final List<String> violations = new ArrayList<>();
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    final Map<String, Worker> workers = new HashMap<>();
+    final Map<String, User> users = new LinkedHashMap<>();
+    final StateService state = new StateService(12, 8);
+    final Cloud cloud;
+    long now = 1_000_000;
+    boolean stateDown;
+    double lostAnswers;
+
+    /** Hosts that can't reach others, or be reached, until the time given; packets in between come late. */
+    private final Map<String, Long> cutUntil = new HashMap<>();
+
+    /** Nodes that the state service answers 503. */
+    final Set<String> refused = new TreeSet<>();
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long eventIds;
+    private final Map<String, String> taskOn = new HashMap<>();
+    private final Settings template;
+    int starts;
+    int finished;
+
+    private record Event(long at, long id, Runnable task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(id, o.id);
+        }
+    }
+
+    /** One user's job, and what its user has been told. */
+    final class User {
+        final JobSpec spec;
+        boolean accepted;
+        boolean told;
+        String end;
+        boolean wantsCancel;
+        long cancelledAt;
+        final Set<Integer> tasksDone = new TreeSet<>();
+
+        User(JobSpec spec) {
+            this.spec = spec;
+        }
+    }
+
+    /** One controller's machine, with a process that comes and goes. */
+    final class Node {
+        final Settings settings;
+        Coordinator coordinator;
+        SimOutside outside;
+
+        Node(Settings settings) {
+            this.settings = settings;
+        }
+
+        void start() {
+            outside = new SimOutside(this);
+            coordinator = new Coordinator(settings, outside);
+            outside.turn(coordinator::start);
+        }
+
+        void crash() {
+            outside.dead = true;
+            coordinator = null;
+        }
+
+        boolean up() {
+            return coordinator != null;
+        }
+    }
+
+    World(long seed) {
+        random = new SplittableRandom(seed);
+        template = settings("n0");
+        cloud = new Cloud("box", 8, 32, 5, List.of("za", "zb"), 5, 3000, this::boot, this::remove);
+        for (int i = 0; i < 3; i++) {
+            Node node = new Node(settings("n" + i));
+            nodes.put("n" + i, node);
+        }
+        nodes.values().forEach(n -> after(random.nextLong(500), n::start));
+        after(50, this::beat);
+    }
+
+    private static Settings settings(String name) {
+        StringBuilder seeds = new StringBuilder();
+        for (int i = 0; i < 3; i++) {
+            if (!name.equals("n" + i)) {
+                seeds.append(seeds.isEmpty() ? "" : ",").append("{\"host_name\":\"n").append(i)
+                        .append("\",\"zone\":\"za\",\"peer_addr\":\"10.0.0.").append(i).append(":1\"}");
+            }
+        }
+        SettingsReader.Result read = SettingsReader.read("""
+                {"host_name":"%s","zone":"za","client_listen":"10.0.0.9:1","peer_bind":"10.0.0.9:2","seeds":[%s],
+                "outside":{"cloud":"%s","state":"%s"},
+                "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":24,"cpus_max":40},
+                {"name":"blue","cpus":16,"cpus_max":24},{"name":"free"}],"objectives":[],
+                "workers":{"report_s":2,"lease_s":10,"cancel_s":%s},
+                "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},
+                "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000}}}
+                """.formatted(name, seeds, CLOUD, STATE, CANCEL_S));
+        if (read.settings() == null) {
+            throw new IllegalStateException(read.problems().toString());
+        }
+        return read.settings();
+    }
+
+    // ---- time
+
+    void after(long ms, Runnable task) {
+        events.add(new Event(now + Math.max(0, ms), eventIds++, task));
+    }
+
+    /** Plays so many seconds and stops at the first broken rule. */
+    void play(double seconds) {
+        long end = now + Math.round(seconds * 1000);
+        while (violations.isEmpty() && !events.isEmpty() && events.peek().at <= end) {
+            Event e = events.poll();
+            now = e.at;
+            e.task.run();
+        }
+        now = Math.max(now, end);
+    }
+
+    private void beat() {
+        if (!stateDown) {
+            state.tick(now);
+        }
+        cloud.tick(now);
+        for (Worker w : List.copyOf(workers.values())) {
+            w.tick(now);
+        }
+        for (User user : users.values()) {
+            if (user.cancelledAt > 0 && now - user.cancelledAt > CANCEL_S * 1000) {
+                for (String task : taskOn.keySet()) {
+                    if (task.startsWith(user.spec.id() + "/")) {
+                        violations.add("ran_cancelled: " + task);
+                    }
+                }
+            }
+        }
+        after(50, this::beat);
+    }
+
+    // ---- the network
+
+    void cut(String host, long ms) {
+        cutUntil.put(host, now + ms);
+    }
+
+    private long heldUntil(String a, String b) {
+        return Math.max(cutUntil.getOrDefault(a, 0L), cutUntil.getOrDefault(b, 0L));
+    }
+
+    private void deliver(String from, String to, Runnable task) {
+        long held = Math.max(0, heldUntil(from, to) - now);
+        after(held + 1 + random.nextLong(6), task);
+    }
+
+    /** A request with its answer; the caller gives up in time, but what was sent arrives all the same. */
+    private void exchange(String from, String to, long timeoutMs, boolean connects, Consumer<Outside.Reply> serve,
+            Outside.Reply reply) {
+        boolean[] over = new boolean[1];
+        if (!connects) {
+            after(2, () -> reply.done(Outside.NOT_SENT, null));
+            return;
+        }
+        after(timeoutMs, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                reply.done(Outside.NO_ANSWER, null);
+            }
+        });
+        deliver(from, to, () -> serve.accept((status, body) -> {
+            if (random.nextDouble() < lostAnswers) {
+                return;
+            }
+            deliver(to, from, () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    reply.done(status, body);
+                }
+            });
+        }));
+    }
+
+    final class SimOutside implements Outside {
+        final Node node;
+        final long shift = random.nextLong(1_000_000);
+        boolean dead;
+
+        SimOutside(Node node) {
+            this.node = node;
+        }
+
+        void turn(Runnable command) {
+            if (!dead) {
+                command.run();
+                node.coordinator.endOfBatch();
+            }
+        }
+
+        @Override
+        public long now() {
+            return now + shift;
+        }
+
+        @Override
+        public long timeOfDay() {
+            return now;
+        }
+
+        @Override
+        public RandomGenerator random() {
+            return random;
+        }
+
+        @Override
+        public void after(long delayMs, Runnable task) {
+            World.this.after(delayMs, () -> turn(task));
+        }
+
+        @Override
+        public void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply) {
+            String me = node.settings.node();
+            JsonNode copy = body == null ? null : Wire.decode(Wire.encode(body));
+            Reply mine = (status, answer) -> turn(() -> reply.done(status,
+                    answer == null ? null : Wire.decode(Wire.encode(answer))));
+            if (addr.equals(STATE)) {
+                exchange(me, STATE, timeoutMs, true, r -> {
+                    boolean open = path.startsWith("/watch");
+                    if (!open && (stateDown || refused.contains(me))) {
+                        r.done(503, null);
+                    } else {
+                        state.request(method, path, copy, r);
+                    }
+                }, mine);
+            } else if (addr.equals(CLOUD)) {
+                exchange(me, CLOUD, timeoutMs, true, r -> cloud.request(method, path, copy, r), mine);
+            } else {
+                Worker w = workers.get(addr);
+                exchange(me, addr, timeoutMs, w != null && heldUntil(me, addr) <= now, r -> {
+                    if (workers.get(addr) == w) {
+                        int status = w.commands(copy);
+                        r.done(status, status == 400 ? null : w.report());
+                    }
+                }, mine);
+            }
+        }
+
+        @Override
+        public void peer(Settings.Peer peer, PeerRecord record, long timeoutMs, Consumer<PeerRecord> reply) {
+            String me = node.settings.node();
+            Node other = nodes.get(peer.node());
+            PeerRecord[] answer = new PeerRecord[1];
+            exchange(me, peer.node(), timeoutMs, other.up() && heldUntil(me, peer.node()) <= now, r -> {
+                if (other.up()) {
+                    other.outside.turn(() -> other.coordinator.peer(PeerRecord.read(PeerRecord.write(record)), a -> {
+                        answer[0] = PeerRecord.read(PeerRecord.write(a));
+                        r.done(200, null);
+                    }));
+                }
+            }, (status, body) -> turn(() -> reply.accept(status == 200 ? answer[0] : null)));
+        }
+    }
+
+    // ---- workers
+
+    private Worker boot(String machine, String place) {
+        String[] parts = place.split("\\|");
+        String addr = "w-" + machine + ":1";
+        Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), 8, 32, 10_000, now,
+                id -> users.containsKey(id) ? users.get(id).spec : null, watcher());
+        workers.put(addr, w);
+        reportLoop(w, "n" + random.nextInt(3));
+        return w;
+    }
+
+    private void remove(Worker w) {
+        workers.remove(w.addr());
+        w.destroy();
+    }
+
+    private void reportLoop(Worker w, String to) {
+        if (workers.get(w.addr()) != w) {
+            return;
+        }
+        long sentAt = now;
+        long session = w.session();
+        w.takeChanged();
+        JsonNode report = Wire.decode(Wire.encode(w.report()));
+        Node node = nodes.get(to);
+        exchange(w.addr(), to, 4000, node.up() && heldUntil(w.addr(), to) <= now, r -> {
+            if (node.up()) {
+                node.outside.turn(() -> node.coordinator.report(Wire.encode(report), r::done));
+            }
+        }, (status, body) -> {
+            if (workers.get(w.addr()) != w) {
+                return;
+            }
+            if (status == 200) {
+                w.answered(Wire.decode(Wire.encode(body)), session, sentAt);
+                waitForReport(w, to, now + 1500 + random.nextLong(1000), now + 500);
+            } else if (status == 421 && nodes.containsKey(body.path("harbormaster").asText())) {
+                after(random.nextLong(500), () -> reportLoop(w, body.path("harbormaster").asText()));
+            } else {
+                String next = "n" + (Integer.parseInt(to.substring(1)) + 1) % 3;
+                after(1000, () -> reportLoop(w, next));
+            }
+        });
+    }
+
+    private void waitForReport(Worker w, String to, long latest, long earliest) {
+        if (now >= latest || now >= earliest && w.takeChanged()) {
+            reportLoop(w, to);
+        } else {
+            after(100, () -> waitForReport(w, to, latest, earliest));
+        }
+    }
+
+    // ---- the rules about tasks
+
+    private Worker.Watcher watcher() {
+        return new Worker.Watcher() {
+            @Override
+            public void started(String task, Worker w) {
+                starts++;
+                User user = users.get(task.substring(0, task.indexOf('/')));
+                if (taskOn.containsKey(task)) {
+                    violations.add("ran_twice: " + task + " on " + taskOn.get(task) + " and " + w.machine());
+                }
+                checkPlace(user.spec, task, w);
+                if (user.cancelledAt > 0 && now - user.cancelledAt > CANCEL_S * 1000) {
+                    violations.add("ran_cancelled: " + task);
+                }
+                taskOn.put(task, w.machine() + "|" + w.zone());
+                checkLimit(user.spec.team());
+            }
+
+            @Override
+            public void ended(String task, Worker w) {
+                taskOn.remove(task, w.machine() + "|" + w.zone());
+            }
+        };
+    }
+
+    private void checkPlace(JobSpec spec, String task, Worker w) {
+        if (w.spot() && !spec.spot() || spec.zone() != null && !spec.zone().equals(w.zone())) {
+            violations.add("wrong_place: " + task + " on " + w.machine());
+        }
+        long inZone = 1;
+        for (Map.Entry<String, String> e : taskOn.entrySet()) {
+            if (e.getKey().startsWith(spec.id() + "/")) {
+                boolean same = e.getValue().endsWith("|" + w.zone());
+                inZone += same ? 1 : 0;
+                if (spec.oneZone() && !same) {
+                    violations.add("wrong_place: " + task + " away from its zone");
+                }
+            }
+        }
+        if (spec.spread() && inZone > (spec.tasks() + 1) / 2) {
+            violations.add("wrong_place: " + task + " with too many in " + w.zone());
+        }
+    }
+
+    private void checkLimit(String name) {
+        Settings.Team team = template.team(name);
+        double sum = 0;
+        for (String task : taskOn.keySet()) {
+            JobSpec spec = users.get(task.substring(0, task.indexOf('/'))).spec;
+            sum += spec.team().equals(name) ? spec.cpus() : 0;
+        }
+        if (team.cpusMax() > 0 && sum > team.cpusMax() + 1e-6) {
+            violations.add("quota: " + name + " uses " + sum);
+        }
+    }
+
+    // ---- users
+
+    void submit(JobSpec spec) {
+        User user = new User(spec);
+        users.put(spec.id(), user);
+        ask(user, PeerRecord.Ask.SUBMIT, now + 60_000);
+    }
+
+    void cancel(User user) {
+        user.wantsCancel = true;
+        ask(user, PeerRecord.Ask.WITHDRAW, now + 60_000);
+    }
+
+    /** Asks any node and repeats until there is an answer. */
+    private void ask(User user, PeerRecord.Ask ask, long until) {
+        Node node = nodes.get("n" + random.nextInt(3));
+        byte[] body = ask == PeerRecord.Ask.SUBMIT ? Wire.encode(user.spec.write()) : new byte[0];
+        PeerRecord.Answer[] answer = new PeerRecord.Answer[1];
+        exchange("user", node.settings.node(), 5000, node.up(), r -> {
+            if (node.up()) {
+                node.outside.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
+                    answer[0] = a;
+                    r.done(a.status(), null);
+                }));
+            }
+        }, (status, none) -> {
+            boolean final_ = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
+            if (final_) {
+                told(user, ask, status, Wire.decode(answer[0].body()));
+            } else if (now < until) {
+                after(1000, () -> ask(user, ask, until));
+            }
+        });
+    }
+
+    private void told(User user, PeerRecord.Ask ask, int status, JsonNode body) {
+        String id = user.spec.id();
+        if (status == 404 || status == 400 || status == 422) {
+            if (user.accepted) {
+                violations.add("forgotten: " + id + " is answered " + status + " to " + ask);
+            }
+            return;
+        }
+        String tide = body.path("tide").asText();
+        if (user.end != null && !user.end.equals(tide)) {
+            violations.add("went_back: " + id + " was " + user.end + " and is " + tide);
+        }
+        if (tide.equals("cancelled") && !user.wantsCancel) {
+            violations.add("went_back: " + id + " is cancelled by nobody");
+        }
+        if (tide.equals("done") && body.path("done").asInt() != user.spec.tasks()) {
+            violations.add("not_done: " + id + " with " + body.path("done"));
+        }
+        if (tide.equals("cancelled") && user.cancelledAt == 0) {
+            user.cancelledAt = now;
+        }
+        if (tide.equals("done") || tide.equals("cancelled")) {
+            finished += user.end == null ? 1 : 0;
+            user.end = tide;
+        }
+        if (ask == PeerRecord.Ask.SUBMIT && !user.accepted) {
+            user.accepted = true;
+            poll(user);
+        }
+    }
+
+    private void poll(User user) {
+        ask(user, PeerRecord.Ask.STATUS, 0);
+        after(user.end == null ? 3000 : 15_000, () -> poll(user));
+    }
+
+    Node leader() {
+        for (Node n : nodes.values()) {
+            if (n.up() && n.coordinator.ready() && n.coordinator.leads()) {
+                return n;
+            }
+        }
+        return null;
+    }
+}
