--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -135,7 +135,7 @@
             }
         }
         w.play(15);
-        Worker worker = w.workers.values().stream().filter(x -> x.machine().equals("host-000000")).findAny().get();
+        Worker worker = w.workers.get("w-" + w.machineInUse() + ":1");
         worker.ignoreLease();
         w.cut(worker.addr(), 60_000);
         w.play(40);
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -479,6 +479,12 @@
         after(user.end == null ? 3000 : 15_000, () -> poll(user));
     }
 
+    /** A machine with a task on it. */
+    String machineInUse() {
+        String on = new java.util.TreeMap<>(taskOn).firstEntry().getValue();
+        return on.substring(0, on.indexOf('|'));
+    }
+
     Node leader() {
         for (Node n : nodes.values()) {
             if (n.up() && n.coordinator.ready() && n.coordinator.leads()) {
