--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -28,7 +28,7 @@
     }
 
     /** A day with users at work and one trouble after the other, until all is quiet again at the end. */
-    private static World day(long seed, double seconds) {
+    static World day(long seed, double seconds) {
         World w = new World(seed);
         SplittableRandom r = w.random.split();
         w.play(3);
