--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -249,9 +249,12 @@
         long now = outside.now();
         boolean done = t.why().equals("done") && !job.spec.service();
         machine.settling.add(t.key());
-        LOG.debug("{} of {} exited on {}: {}, ordered {} ms after its job, running {} ms later, for {} ms", claim.name,
-                job.spec.jobClass(), machine.name, t.why(), claim.orderedAt - now + outside.timeOfDay() - job.acceptedAt,
-                claim.runningAt - claim.orderedAt, now - claim.runningAt);
+        if (claim.orderedAt > 0 && claim.runningAt > 0) {
+            LOG.debug("{} of {} exited on {}: {}, ordered {} ms after its job, running {} ms later, for {} ms",
+                    claim.name, job.spec.jobClass(), machine.name, t.why(),
+                    claim.orderedAt - now + outside.timeOfDay() - job.acceptedAt,
+                    claim.runningAt - claim.orderedAt, now - claim.runningAt);
+        }
         if (done) {
             if (claim.orderedAt > 0 && claim.runningAt > 0) {
                 machine.finished((now - claim.runningAt) / 1000.0, (claim.runningAt - claim.orderedAt) / 1000.0,
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -20,6 +20,12 @@
     /** After the head has waited this long, later jobs may not use machines it could use. */
     static final long HEAD_PROTECTION_MS = 600_000;
 
+    /**
+     * Averages are compared in steps of this size. Finer differences say which machine happened to fetch an image
+     * for its last few tasks, and following them sends tasks away from the machines that hold their images.
+     */
+    private static final double SLOWDOWN_STEP = 0.25;
+
     private final Board board;
 
     Placement(Board board) {
@@ -152,7 +158,7 @@
     }
 
     private static boolean better(Job job, Machine m, Machine than) {
-        int bySlowdown = Double.compare(m.slowdown(), than.slowdown());
+        long bySlowdown = Math.round(m.slowdown() / SLOWDOWN_STEP) - Math.round(than.slowdown() / SLOWDOWN_STEP);
         if (bySlowdown != 0) {
             return bySlowdown < 0;
         }
