--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -157,13 +157,17 @@
         return best;
     }
 
-    private static boolean better(Job job, Machine m, Machine than) {
+    private boolean better(Job job, Machine m, Machine than) {
+        boolean image = m.hasImage(job.spec.image());
+        boolean imageDiffers = image != than.hasImage(job.spec.image());
+        if (imageDiffers && needsImage(job, m.type)) {
+            return image;
+        }
         long bySlowdown = Math.round(m.slowdown() / SLOWDOWN_STEP) - Math.round(than.slowdown() / SLOWDOWN_STEP);
         if (bySlowdown != 0) {
             return bySlowdown < 0;
         }
-        boolean image = m.hasImage(job.spec.image());
-        if (image != than.hasImage(job.spec.image())) {
+        if (imageDiffers) {
             return image;
         }
         if (job.spec.service()) {
@@ -176,6 +180,16 @@
         return m.type.cpus() - m.usedCpus() < than.type.cpus() - than.usedCpus();
     }
 
+    /** True when the job is expected to start sooner than its image can be fetched. */
+    private boolean needsImage(Job job, MachineType type) {
+        for (Settings.Objective aim : board.settings.objectives()) {
+            if (aim.kind().equals("wait") && aim.jobClass().equals(job.spec.jobClass())) {
+                return aim.withinS() < job.spec.imageGb() / type.fetchGbPerS();
+            }
+        }
+        return false;
+    }
+
     /** Everything but room: type, zone, kind of machine, the job's other tasks, and the machine's health. */
     boolean allowed(Job job, Machine m, long now) {
         JobSpec spec = job.spec;
