--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -170,6 +170,9 @@
         if (imageDiffers) {
             return image;
         }
+        if (job.spec.spot() && m.spot != than.spot) {
+            return m.spot; // leaves room on ordinary machines for work that may not go elsewhere
+        }
         if (job.spec.service()) {
             int byZone = Integer.compare(job.tasksInZone.getOrDefault(m.zone, 0),
                     job.tasksInZone.getOrDefault(than.zone, 0));
