Rounds: emptying ordinary machines that the work no longer needs

Cause: after each burst every machine kept a service or two and stayed rented; 39 services held 10 machines. Services now move to machines that hold their image once nothing waited for a boot time.

--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -44,6 +44,7 @@
     private final Placement placement;
     private final Preemption preemption;
     private final Provisioning provisioning;
+    private final Consolidation consolidation;
     private final long roundMs;
 
     private long numbers;
@@ -67,6 +68,7 @@
         this.placement = new Placement(board);
         this.preemption = new Preemption(board, placement);
         this.provisioning = new Provisioning(board, outside, fleet, term);
+        this.consolidation = new Consolidation(board, placement, outside.now(), c -> stop(c, 0));
         this.roundMs = Math.round(settings.workers().reportS() * 1250) + 1000;
         load();
     }
@@ -207,6 +209,9 @@
                 provisioning.rent(waiting);
             }
         }
+        if (regular && settled()) {
+            consolidation.step(waiting, now);
+        }
     }
 
     private void start(Job job, List<Machine> machines) {
