--- a/src/main/java/stileferry/cli/Main.java
+++ b/src/main/java/stileferry/cli/Main.java
@@ -1,9 +1,9 @@
 package stileferry.cli;
 
 import java.util.Locale;
-import java.util.Map;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import stileferry.transport.LogLevel;
 
 /** The command line. */
 @Command(
@@ -11,26 +11,38 @@
         description = "A cluster scheduler.",
         mixinStandardHelpOptions = true,
         version = "stileferry 0.1.0",
-        subcommands = {Serve.class, CheckConfig.class, StandIns.class, Rehearse.class},
-        footer = {"", "Exit codes: 0 done, 1 failed, 2 wrong usage or settings."})
+        subcommands = {Serve.class, CheckConfig.class, Submit.class, Status.class, Withdraw.class, AdminCommand.class,
+            StandIns.class, Rehearse.class},
+        footer = {"", "Exit codes: 0 done, 1 failed or no answer, 2 wrong usage or settings, 3 refused by the service."})
 public final class Main implements Runnable {
-    private static final Map<String, String> LEVELS = Map.of("error", "error", "info", "info", "debug", "debug");
-
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     /** Runs a command and ends the process with its exit code, unless a server stays up. */
     public static void main(String[] args) {
-        // Read by the logger when the first class asks for one, so it has to be set before any other class loads.
-        String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
-        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", LEVELS.getOrDefault(level, "info"));
-        System.setProperty("org.jboss.logging.provider", "slf4j");
-        int code = new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
+        // Read when the first logger is made, so it has to be set before any other class loads.
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s - %5$s%6$s%n");
+        LogLevel.start(System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT));
+        int code = commandLine().execute(args);
         if (code != Serve.STAYS_UP) {
             System.exit(code);
         }
     }
 
+    /** The commands, with errors of one line. */
+    static CommandLine commandLine() {
+        return new CommandLine(new Main())
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .setParameterExceptionHandler((e, args) -> {
+                    System.err.println("stileferry: " + e.getMessage() + " (see --help)");
+                    return 2;
+                })
+                .setExecutionExceptionHandler((e, command, parsed) -> {
+                    System.err.println("stileferry: " + e);
+                    return 1;
+                });
+    }
+
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Admin.java
@@ -0,0 +1,175 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Options;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+import stileferry.storage.Ledger;
+
+/** The administration API at the leader: the operators' settings, and views of what the leader knows. */
+final class Admin {
+    static final String KEY = Leadership.PREFIX + "options";
+
+    /** Answers stay well below the limit of a body. */
+    private static final int MAX_BYTES = Wire.MAX_BODY / 2;
+
+    private final Board board;
+    private final Placement placement;
+    private final Ledger ledger;
+    private final Ledger.Entry entry;
+    private final Supplier<ObjectNode> leader;
+    private final Consumer<Options> taken;
+    private Options pending;
+
+    /** The row is what the state service holds; the consumer takes up settings once they are durable. */
+    Admin(Board board, Placement placement, Ledger ledger, long revision, Supplier<ObjectNode> leader,
+            Consumer<Options> taken) {
+        this.board = board;
+        this.placement = placement;
+        this.ledger = ledger;
+        this.entry = new Ledger.Entry(KEY, revision, () -> pending.write());
+        this.leader = leader;
+        this.taken = taken;
+        this.pending = board.options;
+    }
+
+    /** Answers a request; the path has no prefix, the method is GET or POST. */
+    void request(String method, String path, String from, byte[] bytes, long now, Consumer<PeerRecord.Answer> reply) {
+        boolean get = method.equals("GET");
+        switch (path) {
+            case "settings" -> {
+                if (get) {
+                    reply.accept(Leader.ok(200, board.options.describe()));
+                } else {
+                    change(bytes, false, reply);
+                }
+            }
+            case "settings/reset" -> {
+                if (get) {
+                    reply.accept(Leader.refusal(405, "only POST here"));
+                } else {
+                    change(bytes, true, reply);
+                }
+            }
+            case "leader" -> view(get, leader, reply);
+            case "machines" -> view(get, () -> machines(from, now), reply);
+            case "queue" -> view(get, () -> queue(from, now), reply);
+            case "teams" -> view(get, this::teams, reply);
+            default -> reply.accept(Leader.refusal(404, "no such path"));
+        }
+    }
+
+    static void view(boolean get, Supplier<ObjectNode> view, Consumer<PeerRecord.Answer> reply) {
+        reply.accept(get ? Leader.ok(200, view.get()) : Leader.refusal(405, "only GET here"));
+    }
+
+    private void change(byte[] bytes, boolean reset, Consumer<PeerRecord.Answer> reply) {
+        JsonNode body = Wire.decode(bytes);
+        if (body == null || !body.isObject() || !body.path("revision").isIntegralNumber()) {
+            reply.accept(Leader.refusal(400, "revision: missing or not a whole number"));
+            return;
+        }
+        if (body.path("revision").asLong() != pending.revision()) {
+            reply.accept(Leader.refusal(409, "revision: now at " + pending.revision()));
+            return;
+        }
+        Options next;
+        try {
+            next = reset ? pending.reset(body.path("names")) : pending.with(body.path("change"));
+        } catch (Options.Invalid e) {
+            reply.accept(Leader.refusal(400, e.getMessage()));
+            return;
+        }
+        pending = next;
+        ledger.put(entry, () -> {
+            taken.accept(next);
+            reply.accept(Leader.ok(200, next.describe()));
+        });
+    }
+
+    private ObjectNode machines(String from, long now) {
+        ObjectNode answer = Wire.map();
+        ArrayNode list = answer.putArray("machines");
+        int bytes = 0;
+        boolean more = false;
+        for (Machine m : board.machines.values()) {
+            if (m.name.compareTo(from) <= 0) {
+                continue;
+            }
+            if (bytes > MAX_BYTES) {
+                more = true;
+                break;
+            }
+            String state = m.deleting ? "returning" : !m.heard ? "not heard" : m.faulty ? "faulty"
+                    : m.noticeS >= 0 ? "leaving" : m.draining ? "emptying" : m.strays ? "killing strays" : "in use";
+            ObjectNode o = list.addObject().put("name", m.name).put("type", m.typeName).put("zone", m.zone)
+                    .put("spot", m.spot).put("state", state).put("session", m.session)
+                    .put("heard_s", m.heard ? (now - m.heardAt) / 1000.0 : -1).put("slowdown", m.slowdown())
+                    .put("cpus_in_use", m.usedCpus());
+            ArrayNode tasks = o.putArray("tasks");
+            m.claims.values().forEach(c -> tasks.add(c.name));
+            bytes += o.toString().length();
+        }
+        return answer.put("more", more);
+    }
+
+    private ObjectNode queue(String from, long now) {
+        ObjectNode answer = Wire.map();
+        ArrayNode list = answer.putArray("queue");
+        int skip = from.matches("[0-9]{1,9}") ? Integer.parseInt(from) : 0;
+        int bytes = 0;
+        int position = 0;
+        boolean more = false;
+        for (Job job : placement.queue(now)) {
+            position++;
+            if (position <= skip) {
+                continue;
+            }
+            if (bytes > MAX_BYTES) {
+                more = true;
+                break;
+            }
+            ObjectNode o = list.addObject().put("position", position).put("id", job.spec.id())
+                    .put("class", job.spec.jobClass()).put("team", job.spec.team())
+                    .put("priority", job.spec.priority().name().toLowerCase(java.util.Locale.ROOT))
+                    .put("within_guarantee", job.withinGuarantee).put("rank", placement.rank(job))
+                    .put("waiting", job.waitingCount()).put("why", placement.whyWaiting(job, now));
+            bytes += o.toString().length();
+        }
+        return answer.put("more", more);
+    }
+
+    private ObjectNode teams() {
+        ObjectNode answer = Wire.map();
+        ArrayNode list = answer.putArray("teams");
+        List<JobSpec.Priority> priorities = List.of(JobSpec.Priority.values());
+        for (Settings.Team team : board.settings.teams()) {
+            ObjectNode o = list.addObject().put("name", team.name()).put("cpus", team.cpus())
+                    .put("cpus_max", team.cpusMax()).put("cpus_in_use", board.cpusOf(team.name()))
+                    .put("gpus", team.gpus()).put("gpus_max", team.gpusMax())
+                    .put("gpus_in_use", board.gpusOf(team.name()));
+            int[] waiting = new int[priorities.size()];
+            for (Job job : board.jobs.values()) {
+                if (job.spec.team().equals(team.name())) {
+                    waiting[job.spec.priority().ordinal()] += job.waitingCount();
+                }
+            }
+            ObjectNode w = o.putObject("waiting");
+            priorities.forEach(p -> w.put(p.name().toLowerCase(java.util.Locale.ROOT), waiting[p.ordinal()]));
+        }
+        return answer;
+    }
+
+    /** What a request that can't be answered now gets. */
+    static PeerRecord.Answer unavailable() {
+        return new PeerRecord.Answer(503, 1, Wire.encode(Messages.error("no leader, or not sure of it")));
+    }
+}
--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import stileferry.protocol.MachineType;
+import stileferry.protocol.Options;
 import stileferry.protocol.Settings;
 
 /** What the leader knows in one term: the jobs that are not over, the machines, and the teams' use. */
@@ -20,6 +21,9 @@
     final Map<String, Machine> machines = new TreeMap<>();
     List<MachineType> types = List.of();
 
+    /** The operators' settings in force. */
+    Options options = Options.defaults();
+
     /** Machines whose deletion was confirmed: late lists and late reports still name them, but they are gone. */
     final Set<String> deleted = Collections.newSetFromMap(new LinkedHashMap<>() {
         @Override
--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Options;
 
 /**
  * Empties machines that the work no longer needs, so that they can be returned: nothing new starts there, arrays run
@@ -13,9 +14,6 @@
 final class Consolidation {
     private static final Logger LOG = LoggerFactory.getLogger("consolidation");
 
-    /** Share of all CPUs that must be left free elsewhere before a machine is emptied; one machine's at least. */
-    private static final double KEEP_SHARE = 0.1;
-
     /** Boot times for which nothing may have waited. */
     private static final double CALM_BOOTS = 1.0;
 
@@ -74,7 +72,7 @@
             return;
         }
         double elsewhere = free - (best.type.cpus() - best.usedCpus());
-        if (elsewhere >= best.usedCpus() + Math.max(best.type.cpus(), all * KEEP_SHARE)) {
+        if (elsewhere >= best.usedCpus() + Math.max(best.type.cpus(), all * board.options.number(Options.EMPTY_SHARE))) {
             LOG.info("emptying machine {} with {} tasks, {} CPUs are free elsewhere", best.name, best.claims.size(),
                     elsewhere);
             best.draining = true;
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -11,6 +11,7 @@
 import org.slf4j.LoggerFactory;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.Messages;
+import stileferry.protocol.Options;
 import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
@@ -36,6 +37,7 @@
     private final StateClient state;
     private final Leadership leadership;
     private final EndedJobs ended = new EndedJobs();
+    private final Counters counters = new Counters();
     private final long reportMs;
     private final long leaseMs;
 
@@ -91,6 +93,11 @@
         }
     }
 
+    @Override
+    public void options(JsonNode stored) {
+        outside.logLevel(Options.read(stored).text(Options.LOG_LEVEL));
+    }
+
     /** Called after each batch of commands. */
     public void endOfBatch() {
         if (leader != null) {
@@ -118,6 +125,24 @@
 
     /** Takes a user's request: here when this node leads, else by way of the leader. */
     public void user(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
+        long since = outside.now();
+        pass(ask, id, body, answer -> {
+            counters.count(ask, answer.status(), outside.now() - since);
+            reply.accept(answer);
+        });
+    }
+
+    /** Takes an operator's request; the path is what follows the prefix, with its query. */
+    public void admin(String method, String path, byte[] body, Consumer<PeerRecord.Answer> reply) {
+        if (path.equals("counters")) {
+            Admin.view(method.equals("GET"), () -> counters.describe().put("node", settings.node())
+                    .put("leader", leadership.leader()).put("term", leadership.term()), reply);
+        } else {
+            user(PeerRecord.Ask.ADMIN, method + " " + path, body, reply);
+        }
+    }
+
+    private void pass(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
         if (leader != null) {
             lead(ask, id, body, reply);
             return;
@@ -138,6 +163,11 @@
             case SUBMIT -> leader.submit(body, reply);
             case STATUS -> leader.status(id, reply);
             case WITHDRAW -> leader.withdraw(id, reply);
+            case ADMIN -> {
+                String[] parts = id.split("[ ?]", 3);
+                String from = parts.length > 2 && parts[2].startsWith("from=") ? parts[2].substring(5) : "";
+                leader.admin(parts[0], parts.length > 1 ? parts[1] : "", from, body, reply);
+            }
             case REPORT -> {
                 Report report = Report.read(Wire.decode(body));
                 if (report == null) {
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Counters.java
@@ -0,0 +1,37 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Wire;
+
+/** What one controller has answered since its start, and how long that took. */
+final class Counters {
+    private static final long LONGEST_MS = 60_000;
+
+    private final Map<PeerRecord.Ask, Histogram> times = new EnumMap<>(PeerRecord.Ask.class);
+    private final Map<String, Long> answers = new TreeMap<>();
+
+    void count(PeerRecord.Ask ask, int status, long tookMs) {
+        times.computeIfAbsent(ask, a -> new Histogram(LONGEST_MS, 2)).recordValue(Math.min(LONGEST_MS, Math.max(0, tookMs)));
+        answers.merge(name(ask) + " " + status, 1L, Long::sum);
+    }
+
+    ObjectNode describe() {
+        ObjectNode n = Wire.map();
+        ObjectNode counts = n.putObject("answers");
+        answers.forEach(counts::put);
+        ObjectNode list = n.putObject("times_ms");
+        times.forEach((ask, h) -> list.putObject(name(ask)).put("count", h.getTotalCount())
+                .put("p50", h.getValueAtPercentile(50)).put("p90", h.getValueAtPercentile(90))
+                .put("p99", h.getValueAtPercentile(99)).put("max", h.getMaxValue()));
+        return n;
+    }
+
+    private static String name(PeerRecord.Ask ask) {
+        return ask.name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -12,6 +12,7 @@
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.Messages;
+import stileferry.protocol.Options;
 import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
@@ -24,7 +25,6 @@
 final class Leader implements Fleet.Events {
     private static final Logger LOG = LoggerFactory.getLogger("leader");
 
-    private static final long PASS_MS = 1000;
     private static final long COALESCE_MS = 20;
 
     /** Attempts of one term are numbered below this, so that attempts of a later term are always higher. */
@@ -48,6 +48,7 @@
     private final long roundMs;
 
     private long numbers;
+    private Admin admin;
     private boolean active;
     private long activeAt;
     private boolean closed;
@@ -114,12 +115,34 @@
                 if (chunks.rows() == null) {
                     outside.after(300, this::load);
                 } else {
-                    build(jobs.rows(), chunks.rows());
+                    loadOptions(jobs.rows(), chunks.rows());
                 }
             });
         });
     }
 
+    private void loadOptions(List<StateClient.Row> jobs, List<StateClient.Row> chunks) {
+        state.get(Admin.KEY, (status, body) -> {
+            if (closed) {
+                return;
+            }
+            if (status == 200) {
+                takeOptions(Options.read(body.path("v")));
+            } else if (status != 404) {
+                outside.after(300, this::load);
+                return;
+            }
+            long revision = status == 200 ? body.path("entry_rev").asLong() : 0;
+            admin = new Admin(board, placement, ledger, revision, this::describe, this::takeOptions);
+            build(jobs, chunks);
+        });
+    }
+
+    private void takeOptions(Options options) {
+        board.options = options;
+        outside.logLevel(options.text(Options.LOG_LEVEL));
+    }
+
     private void build(List<StateClient.Row> jobs, List<StateClient.Row> chunks) {
         for (StateClient.Row row : jobs) {
             try {
@@ -162,7 +185,7 @@
         if (closed) {
             return;
         }
-        outside.after(PASS_MS, this::tick);
+        outside.after(Math.round(1000 * board.options.number(Options.PASS_INTERVAL_S)), this::tick);
         fleet.checkLeases();
         if (leadership.sure()) {
             provisioning.list();
@@ -200,10 +223,8 @@
         long now = outside.now();
         List<Job> waiting = placement.pass(now, outside.timeOfDay(), this::start);
         if (settled() && !waiting.isEmpty()) {
-            long urgentAfter = Math.round(1000 * board.types.get(0).bootS());
-            for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, outside.timeOfDay())) {
-                LOG.debug("stopping {} to make room for {}", stop.victim().name, stop.forJob().spec.id());
-                stop(stop.victim(), stop.graceS());
+            if (board.options.flag(Options.PREEMPTION)) {
+                makeRoom(waiting, now);
             }
             if (regular) {
                 provisioning.rent(waiting);
@@ -214,6 +235,14 @@
         }
     }
 
+    private void makeRoom(List<Job> waiting, long now) {
+        long urgentAfter = Math.round(1000 * board.types.get(0).bootS());
+        for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, outside.timeOfDay())) {
+            LOG.debug("stopping {} to make room for {}", stop.victim().name, stop.forJob().spec.id());
+            stop(stop.victim(), stop.graceS());
+        }
+    }
+
     private void start(Job job, List<Machine> machines) {
         long now = outside.now();
         int index = job.nextWaiting(now);
@@ -536,6 +565,20 @@
         });
     }
 
+    void admin(String method, String path, String from, byte[] body, Consumer<PeerRecord.Answer> reply) {
+        if (!serving()) {
+            reply.accept(Admin.unavailable());
+        } else {
+            admin.request(method, path, from, body, outside.now(), reply);
+        }
+    }
+
+    private ObjectNode describe() {
+        return Wire.map().put("leader", settings.node()).put("term", term)
+                .put("active_s", (outside.now() - activeAt) / 1000.0).put("live_jobs", board.jobs.size())
+                .put("machines", board.machines.size()).put("changes_waiting", ledger.backlog());
+    }
+
     void status(String id, Consumer<PeerRecord.Answer> reply) {
         if (!serving()) {
             reply.accept(unavailable());
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -53,6 +53,9 @@
 
         /** This node no longer leads. */
         void deposed();
+
+        /** The operators' settings as they are stored; only told to followers. */
+        void options(JsonNode stored);
     }
 
     Leadership(Outside outside, StateClient state, Settings settings, Listener listener) {
@@ -182,6 +185,8 @@
             for (StateClient.Row row : rows.rows()) {
                 if (row.key().equals(LEADER_KEY)) {
                     holder = row.value();
+                } else if (row.key().equals(Admin.KEY)) {
+                    listener.options(row.value());
                 } else if (row.key().equals(TERM_KEY)) {
                     storedTerm = row.value().path("term").asLong();
                     termRevision = row.revision();
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
+import stileferry.protocol.Options;
 import stileferry.protocol.Settings;
 
 /**
@@ -17,9 +18,6 @@
  * (Rodero, Guim, Corbalan: "Performance-driven Coordinated Grid Scheduling", section III).
  */
 final class Placement {
-    /** After the head has waited this long, later jobs may not use machines it could use. */
-    static final long HEAD_PROTECTION_MS = 600_000;
-
     /**
      * Averages are compared in steps of this size. Finer differences say which machine happened to fetch an image
      * for its last few tasks, and following them sends tasks away from the machines that hold their images.
@@ -70,13 +68,14 @@
      */
     List<Job> pass(long now, long timeOfDay, BiConsumer<Job, List<Machine>> start) {
         markGuaranteed();
+        double protectAfterMs = 1000 * board.options.number(Options.HEAD_PROTECTION_S);
         List<Job> queue = queue(now);
         List<Job> waiting = new ArrayList<>(queue);
         Set<Job> stuck = new HashSet<>();
         while (stuck.size() < queue.size()) {
             Job head = queue.get(0);
             Job pick = stuck.contains(head) ? null : head;
-            Job protectedHead = pick == null && timeOfDay - head.acceptedAt > HEAD_PROTECTION_MS ? head : null;
+            Job protectedHead = pick == null && timeOfDay - head.acceptedAt > protectAfterMs ? head : null;
             double lowest = Double.MAX_VALUE;
             for (int i = 1; pick != head && i < queue.size(); i++) {
                 Job job = queue.get(i);
@@ -193,6 +192,18 @@
         return false;
     }
 
+    /** Why the next task of this job has not started, in words for operators. */
+    String whyWaiting(Job job, long now) {
+        if (!board.withinLimit(job)) {
+            return "its team is at its limit";
+        }
+        int allowed = 0;
+        for (Machine m : board.machines.values()) {
+            allowed += m.type != null && allowed(job, m, now) ? 1 : 0;
+        }
+        return allowed == 0 ? "no machine that it may use is up" : "no room on " + allowed + " machines that it may use";
+    }
+
     /** Everything but room: type, zone, kind of machine, the job's other tasks, and the machine's health. */
     boolean allowed(Job job, Machine m, long now) {
         JobSpec spec = job.spec;
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -13,6 +13,7 @@
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.Messages;
+import stileferry.protocol.Options;
 import stileferry.protocol.Outside;
 import stileferry.protocol.Settings;
 import stileferry.storage.Budget;
@@ -30,9 +31,6 @@
     private static final int MAX_RENT = 50;
     private static final int MAX_DELETE = 100;
 
-    /** Share of the CPUs that critical work uses, kept free on ordinary machines for more of it. */
-    private static final double SPARE_SHARE = 0.1;
-
     private final Board board;
     private final Outside outside;
     private final Fleet fleet;
@@ -235,8 +233,8 @@
     }
 
     /** A machine is kept for a while: renting another takes its boot time. */
-    private static long idleMs(Machine m) {
-        return Math.round(2000 * m.type.bootS());
+    private long idleMs(Machine m) {
+        return Math.round(1000 * board.options.number(Options.IDLE_BOOTS) * m.type.bootS());
     }
 
     private void delete() {
@@ -281,7 +279,7 @@
                 }
             }
         }
-        return free - Math.max(largest, critical * SPARE_SHARE);
+        return free - Math.max(largest, critical * board.options.number(Options.SPARE_SHARE));
     }
 
     /** Rents for the jobs that wait, after counting the machines that boot. */
@@ -353,12 +351,13 @@
             }
         }
         Bin best = null;
+        boolean moreSpot = spotAllowed(wanted);
         for (MachineType type : board.types) {
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Bin bin = new Bin(type, zone, spot);
                     Refusal refusal = refusals.get(group(type, zone, spot));
-                    if ((refusal == null || refusal.until <= outside.now()) && bin.take(spec)
+                    if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now()) && bin.take(spec)
                             && (best == null || cheaper(bin, best, perZone))) {
                         best = bin;
                     }
@@ -373,6 +372,18 @@
         return true;
     }
 
+    /** Whether one more spot machine keeps their share within what operators allow. */
+    private boolean spotAllowed(List<Bin> wanted) {
+        double share = board.options.number(Options.SPOT_SHARE);
+        long spot = 1 + wanted.stream().filter(b -> b.spot).count();
+        long all = 1 + wanted.size();
+        for (Machine m : board.machines.values()) {
+            all += m.deleting ? 0 : 1;
+            spot += !m.deleting && m.spot ? 1 : 0;
+        }
+        return spot <= share * all;
+    }
+
     private static boolean cheaper(Bin bin, Bin than, Map<String, Integer> perZone) {
         double price = bin.spot ? bin.type.spotPrice() : bin.type.price();
         double other = than.spot ? than.type.spotPrice() : than.type.price();
--- /dev/null
+++ b/src/main/java/stileferry/protocol/Options.java
@@ -0,0 +1,204 @@
+package stileferry.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.BooleanNode;
+import com.fasterxml.jackson.databind.node.DoubleNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The operators' own settings: changed through the administration API only, kept in the state service. */
+public final class Options {
+    /** Seconds between regular passes. */
+    public static final String PASS_INTERVAL_S = "pass_interval_s";
+
+    /** Seconds after which a waiting head is protected from later jobs. */
+    public static final String HEAD_PROTECTION_S = "head_protection_s";
+
+    /** Idle time before a machine's return, in boot times of its type. */
+    public static final String IDLE_BOOTS = "idle_boots";
+
+    /** Share of critical work's CPUs that is kept free for more of it. */
+    public static final String SPARE_SHARE = "spare_share";
+
+    /** Share of all CPUs that must be free before a machine is emptied. */
+    public static final String EMPTY_SHARE = "empty_share";
+
+    /** Greatest share of spot machines among all. */
+    public static final String SPOT_SHARE = "spot_share";
+
+    /** Whether work is stopped to make room. */
+    public static final String PREEMPTION = "preemption";
+
+    /** How much is logged. */
+    public static final String LOG_LEVEL = "log_level";
+
+    private static final List<Definition> ALL = List.of(
+            number(PASS_INTERVAL_S, 1, 0.2, 10, "seconds between regular passes over the queue"),
+            number(HEAD_PROTECTION_S, 600, 10, 86_400,
+                    "seconds after which later jobs may not use machines that the waiting head could use"),
+            number(IDLE_BOOTS, 2, 0.5, 1000, "idle time before a machine is returned, in boot times of its type"),
+            number(SPARE_SHARE, 0.1, 0, 1, "share of the CPUs in use by critical work that is kept free for more"),
+            number(EMPTY_SHARE, 0.1, 0, 1, "share of all CPUs that must be free before a machine is emptied; 1: never"),
+            number(SPOT_SHARE, 1, 0, 1, "greatest share of spot machines among all machines when renting"),
+            new Definition(PREEMPTION, BooleanNode.TRUE, 0, 0, List.of(), "whether work is stopped to make room"),
+            new Definition(LOG_LEVEL, TextNode.valueOf("default"), 0, 0, List.of("default", "error", "info", "debug"),
+                    "how much every controller logs; default: as each was started"));
+
+    private final long revision;
+    private final Map<String, JsonNode> changed;
+
+    /** One setting; its kind is that of its default. */
+    public record Definition(String name, JsonNode preset, double least, double most, List<String> choices,
+            String meaning) {}
+
+    /** A change that can't be made; the message names the setting. */
+    public static final class Invalid extends Exception {
+        Invalid(String message) {
+            super(message);
+        }
+    }
+
+    private Options(long revision, Map<String, JsonNode> changed) {
+        this.revision = revision;
+        this.changed = changed;
+    }
+
+    private static Definition number(String name, double preset, double least, double most, String meaning) {
+        return new Definition(name, DoubleNode.valueOf(preset), least, most, List.of(), meaning);
+    }
+
+    /** Nothing changed yet. */
+    public static Options defaults() {
+        return new Options(0, Map.of());
+    }
+
+    /** Takes stored settings; what this version doesn't know or accept is left out. */
+    public static Options read(JsonNode stored) {
+        Map<String, JsonNode> values = new TreeMap<>();
+        for (Definition d : ALL) {
+            JsonNode value = stored.path("values").path(d.name);
+            try {
+                if (!value.isMissingNode()) {
+                    check(d, value);
+                    values.put(d.name, value);
+                }
+            } catch (Invalid e) {
+                values.remove(d.name);
+            }
+        }
+        return new Options(stored.path("revision").asLong(), values);
+    }
+
+    /** The form in which the settings are stored. */
+    public ObjectNode write() {
+        ObjectNode n = Wire.map().put("revision", revision);
+        n.putObject("values").setAll(changed);
+        return n;
+    }
+
+    /** Counts the changes made so far. */
+    public long revision() {
+        return revision;
+    }
+
+    /** These settings with some changed: all of them or none. */
+    public Options with(JsonNode change) throws Invalid {
+        if (!change.isObject() || change.isEmpty()) {
+            throw new Invalid("change: a map of settings is missing");
+        }
+        Map<String, JsonNode> values = new TreeMap<>(changed);
+        for (Iterator<Map.Entry<String, JsonNode>> it = change.fields(); it.hasNext();) {
+            Map.Entry<String, JsonNode> e = it.next();
+            check(definition(e.getKey()), e.getValue());
+            values.put(e.getKey(), e.getValue());
+        }
+        return new Options(revision + 1, values);
+    }
+
+    /** These settings with some at their defaults again; all of them if none is named. */
+    public Options reset(JsonNode names) throws Invalid {
+        Map<String, JsonNode> values = new TreeMap<>();
+        if (!names.isMissingNode() && !names.isArray()) {
+            throw new Invalid("names: not a list");
+        }
+        if (!names.isEmpty()) {
+            values.putAll(changed);
+            for (JsonNode name : names) {
+                values.remove(definition(name.asText()).name);
+            }
+        }
+        return new Options(revision + 1, values);
+    }
+
+    private static Definition definition(String name) throws Invalid {
+        for (Definition d : ALL) {
+            if (d.name.equals(name)) {
+                return d;
+            }
+        }
+        throw new Invalid(name + ": unknown setting");
+    }
+
+    private static void check(Definition d, JsonNode value) throws Invalid {
+        if (d.preset.isNumber()) {
+            double v = value.isNumber() ? value.doubleValue() : Double.NaN;
+            if (!(v >= d.least && v <= d.most)) {
+                throw new Invalid(d.name + ": not a number from " + d.least + " to " + d.most);
+            }
+        } else if (d.preset.isBoolean() && !value.isBoolean()) {
+            throw new Invalid(d.name + ": not true or false");
+        } else if (d.preset.isTextual() && !d.choices.contains(value.asText())) {
+            throw new Invalid(d.name + ": not one of " + d.choices);
+        }
+    }
+
+    private JsonNode value(String name) {
+        if (changed.containsKey(name)) {
+            return changed.get(name);
+        }
+        for (Definition d : ALL) {
+            if (d.name.equals(name)) {
+                return d.preset;
+            }
+        }
+        throw new IllegalArgumentException(name);
+    }
+
+    /** A number's value. */
+    public double number(String name) {
+        return value(name).doubleValue();
+    }
+
+    /** A flag's value. */
+    public boolean flag(String name) {
+        return value(name).booleanValue();
+    }
+
+    /** A text's value. */
+    public String text(String name) {
+        return value(name).textValue();
+    }
+
+    /** All settings with values, defaults, limits and meaning. */
+    public ObjectNode describe() {
+        ObjectNode n = Wire.map().put("revision", revision);
+        ArrayNode list = n.putArray("settings");
+        for (Definition d : ALL) {
+            ObjectNode o = list.addObject().put("name", d.name);
+            o.set("value", value(d.name));
+            o.set("default", d.preset);
+            if (d.preset.isNumber()) {
+                o.put("least", d.least).put("most", d.most);
+            } else if (d.preset.isTextual()) {
+                d.choices.forEach(o.putArray("choices")::add);
+            }
+            o.put("meaning", d.meaning);
+        }
+        return n;
+    }
+}
--- a/src/main/java/stileferry/protocol/Outside.java
+++ b/src/main/java/stileferry/protocol/Outside.java
@@ -24,6 +24,9 @@
     /** Random numbers, for jitter only. */
     RandomGenerator random();
 
+    /** Sets how much is logged: error, info, debug, or default for what the process was started with. */
+    void logLevel(String level);
+
     /** Runs something later, on the owner's turn. */
     void after(long delayMs, Runnable task);
 
--- a/src/main/java/stileferry/protocol/PeerRecord.java
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -11,9 +11,9 @@
 public sealed interface PeerRecord {
 
     /** What a forwarded request asks. */
-    enum Ask { SUBMIT, STATUS, WITHDRAW, REPORT }
+    enum Ask { SUBMIT, STATUS, WITHDRAW, REPORT, ADMIN }
 
-    /** A user's or worker's request on its way to the leader. */
+    /** A request on its way to the leader; for {@link Ask#ADMIN} the id is the method and the rest of the path. */
     record Forward(Ask ask, String id, byte[] body) implements PeerRecord {}
 
     /** The leader's answer to a forwarded request. */
--- /dev/null
+++ b/src/main/java/stileferry/transport/LogLevel.java
@@ -0,0 +1,37 @@
+package stileferry.transport;
+
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** How much is logged, now; the logging of the platform is behind SLF4J since it can be changed while it runs. */
+public final class LogLevel {
+    private static final Map<String, Level> LEVELS =
+            Map.of("error", Level.SEVERE, "info", Level.INFO, "debug", Level.FINE);
+
+    /** Kept here, since the platform forgets loggers that nobody holds. */
+    private static final Logger ROOT = Logger.getLogger("");
+    private static final Logger[] QUIET = {Logger.getLogger("org.xnio"), Logger.getLogger("io.undertow"),
+        Logger.getLogger("org.jboss"), Logger.getLogger("com.netflix")};
+
+    private static Level preset = Level.INFO;
+
+    private LogLevel() {}
+
+    /** Sets the level that the process starts with and returns to. */
+    public static void start(String level) {
+        preset = LEVELS.getOrDefault(level, Level.INFO);
+        for (Logger logger : QUIET) {
+            logger.setLevel(Level.SEVERE);
+        }
+        for (java.util.logging.Handler handler : ROOT.getHandlers()) {
+            handler.setLevel(Level.ALL);
+        }
+        ROOT.setLevel(preset);
+    }
+
+    /** Sets the level from now on; anything unknown is the one the process was started with. */
+    static void set(String level) {
+        ROOT.setLevel(LEVELS.getOrDefault(level, preset));
+    }
+}
--- a/src/main/java/stileferry/transport/NetworkOutside.java
+++ b/src/main/java/stileferry/transport/NetworkOutside.java
@@ -48,6 +48,11 @@
         return random;
     }
 
+    @Override
+    public void logLevel(String level) {
+        LogLevel.set(level);
+    }
+
     @Override
     public void after(long delayMs, Runnable task) {
         if (!closed) {
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -26,8 +26,8 @@
         outside = new NetworkOutside(owner, loop);
         Coordinator coordinator = new Coordinator(settings, outside);
         owner.afterBatch(coordinator::endOfBatch);
-        peers = server(settings.peerListen(), new PeerServer(owner, coordinator));
-        users = server(settings.clientListen(), new UserServer(owner, coordinator));
+        peers = server(settings.peerListen(), settings.maxSockets() / 8, new PeerServer(owner, coordinator));
+        users = server(settings.clientListen(), settings.maxSockets() * 3 / 4, new UserServer(owner, coordinator, UserLimit.create()));
         try {
             peers.start();
             users.start();
@@ -38,7 +38,7 @@
         owner.submit(coordinator::start);
     }
 
-    private Undertow server(InetSocketAddress listen, HttpHandler handler) {
+    private Undertow server(InetSocketAddress listen, int connections, HttpHandler handler) {
         return Undertow.builder()
                 .setWorker(loop.worker)
                 .setByteBufferPool(loop.buffers)
@@ -48,6 +48,8 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, IDLE_MS / 4)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, connections)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, connections - 1)
                 .setSocketOption(Options.TCP_NODELAY, true)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
                 .setHandler(handler)
--- /dev/null
+++ b/src/main/java/stileferry/transport/UserLimit.java
@@ -0,0 +1,26 @@
+package stileferry.transport;
+
+import com.netflix.concurrency.limits.Limiter;
+import com.netflix.concurrency.limits.limit.Gradient2Limit;
+import com.netflix.concurrency.limits.limiter.SimpleLimiter;
+import java.util.function.LongSupplier;
+
+/** The limit on user requests in progress: it follows the measured times of answers, within bounds. */
+final class UserLimit {
+    private static final int LEAST = 32;
+    private static final int FIRST = 128;
+    private static final int MOST = 1024;
+
+    private UserLimit() {}
+
+    static Limiter<Void> create() {
+        return create(System::nanoTime);
+    }
+
+    static Limiter<Void> create(LongSupplier nanos) {
+        return SimpleLimiter.newBuilder()
+                .clock(nanos::getAsLong)
+                .limit(Gradient2Limit.newBuilder().minLimit(LEAST).initialLimit(FIRST).maxConcurrency(MOST).build())
+                .build();
+    }
+}
--- a/src/main/java/stileferry/transport/UserServer.java
+++ b/src/main/java/stileferry/transport/UserServer.java
@@ -1,11 +1,13 @@
 package stileferry.transport;
 
+import com.netflix.concurrency.limits.Limiter;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.Consumer;
 import stileferry.coordination.Coordinator;
 import stileferry.protocol.JobSpec;
@@ -19,11 +21,16 @@
     private static final byte[] NOTHING = new byte[0];
     private static final String WORK = "/work";
     private static final String WITHDRAW = "/withdraw";
+    private static final String ADMIN = "/admin/";
+
+    private static final byte[] TOO_MUCH = Wire.encode(Messages.error("too much to do, try again"));
 
     private final Owner owner;
+    private final Limiter<Void> limiter;
     private final Coordinator coordinator;
 
-    UserServer(Owner owner, Coordinator coordinator) {
+    UserServer(Owner owner, Coordinator coordinator, Limiter<Void> limiter) {
+        this.limiter = limiter;
         this.owner = owner;
         this.coordinator = coordinator;
     }
@@ -35,6 +42,16 @@
             post(exchange, body -> report(exchange, body));
         } else if (path.equals("/ready")) {
             get(exchange, () -> owned(exchange, () -> send(exchange, coordinator.ready() ? 200 : 503, 0, NOTHING)));
+        } else if (path.startsWith(ADMIN)) {
+            String rest = path.substring(ADMIN.length());
+            String query = exchange.getQueryString();
+            String full = query.isEmpty() ? rest : rest + "?" + query;
+            String method = exchange.getRequestMethod().toString();
+            if (method.equals("GET")) {
+                admin(exchange, method, full, NOTHING);
+            } else {
+                post(exchange, body -> admin(exchange, method, full, body));
+            }
         } else if (path.equals(WORK)) {
             post(exchange, body -> user(exchange, Ask.SUBMIT, "", body));
         } else if (path.startsWith(WORK + "/")) {
@@ -59,7 +76,23 @@
     }
 
     private void user(HttpServerExchange exchange, Ask ask, String id, byte[] body) {
-        owned(exchange, () -> coordinator.user(ask, id, body, answer -> send(exchange, answer)));
+        Optional<Limiter.Listener> slot = limiter.acquire(null);
+        if (slot.isEmpty()) {
+            send(exchange, 503, 1, TOO_MUCH);
+            return;
+        }
+        owned(exchange, () -> coordinator.user(ask, id, body, answer -> {
+            if (answer.status() == 503) {
+                slot.get().onIgnore(); // says nothing about how long an answer takes
+            } else {
+                slot.get().onSuccess();
+            }
+            send(exchange, answer);
+        }), slot.get()::onDropped);
+    }
+
+    private void admin(HttpServerExchange exchange, String method, String path, byte[] body) {
+        owned(exchange, () -> coordinator.admin(method, path, body, answer -> send(exchange, answer)));
     }
 
     private void report(HttpServerExchange exchange, byte[] body) {
@@ -67,11 +100,16 @@
                 (status, node) -> send(exchange, status, 0, Wire.encode(node))));
     }
 
-    /** Hands the request to the owner; the exchange stays open until somebody sends. */
     private void owned(HttpServerExchange exchange, Runnable command) {
+        owned(exchange, command, () -> { });
+    }
+
+    /** Hands the request to the owner; the exchange stays open until somebody sends. */
+    private void owned(HttpServerExchange exchange, Runnable command, Runnable refused) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             if (!owner.offer(command)) {
-                send(exchange, 503, 1, Wire.encode(Messages.error("too much to do")));
+                refused.run();
+                send(exchange, 503, 1, TOO_MUCH);
             }
         });
     }
--- a/src/test/java/stileferry/cli/ServiceTest.java
+++ b/src/test/java/stileferry/cli/ServiceTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.DoubleNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -14,7 +16,6 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
 import stileferry.Controller;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Wire;
@@ -149,15 +150,61 @@
         assertEquals(400, user.ask("POST", "/v1/report", Wire.encode(Wire.map()), 10_000).status());
     }
 
+    private static long revision() throws InterruptedException {
+        return user.ask("GET", "/admin/settings", NOTHING, 10_000).body().path("revision").asLong();
+    }
+
+    private static int change(long revision, String name, com.fasterxml.jackson.databind.JsonNode value)
+            throws InterruptedException {
+        ObjectNode body = Wire.map().put("revision", revision);
+        body.putObject("change").set(name, value);
+        return user.ask("POST", "/admin/settings", Wire.encode(body), 10_000).status();
+    }
+
+    @Test
+    void operatorsChangeTheirSettingsOnlyAtTheRevisionTheySaw() throws InterruptedException {
+        long at = revision();
+        assertEquals(400, change(at, "idle_boots", TextNode.valueOf("long")));
+        assertEquals(400, change(at, "idle_boots", DoubleNode.valueOf(-1)));
+        assertEquals(400, change(at, "no_such_thing", DoubleNode.valueOf(1)));
+        assertEquals(at, revision(), "what was refused changed nothing");
+        assertEquals(200, change(at, "idle_boots", DoubleNode.valueOf(3)));
+        assertEquals(409, change(at, "idle_boots", DoubleNode.valueOf(4)));
+        assertEquals(at + 1, revision());
+        byte[] reset = Wire.encode(Wire.map().put("revision", at + 1));
+        assertEquals(200, user.ask("POST", "/admin/settings/reset", reset, 10_000).status());
+        for (String view : List.of("leader", "machines", "queue", "teams", "counters")) {
+            assertEquals(200, user.ask("GET", "/admin/" + view, NOTHING, 10_000).status(), view);
+            assertEquals(405, user.ask("POST", "/admin/" + view, NOTHING, 10_000).status(), view);
+        }
+        assertEquals(404, user.ask("GET", "/admin/secrets", NOTHING, 10_000).status());
+    }
+
+    @Test
+    void theCommandLineSubmitsShowsAndCancels() {
+        String node = "--node=127.0.0.1:" + (port + 2);
+        assertEquals(0, Main.commandLine().execute("submit", node, "--id", "job-50", "--team", "red", "--kind", "service",
+                "--tasks", "1"));
+        assertEquals(0, Main.commandLine().execute("status", node, "--json", "job-50"));
+        assertEquals(0, Main.commandLine().execute("withdraw", node, "job-50"));
+        assertEquals(3, Main.commandLine().execute("submit", node, "--id", "job-51", "--team", "nobody"));
+        assertEquals(3, Main.commandLine().execute("status", node, "job-52"));
+        assertEquals(0, Main.commandLine().execute("admin", "get", node));
+        assertEquals(0, Main.commandLine().execute("admin", "show", node, "queue"));
+        assertEquals(3, Main.commandLine().execute("admin", "set", node, "--revision", "999", "spare_share=0.5"));
+        assertEquals(2, Main.commandLine().execute("submit", node, "--tasks", "many"));
+        assertEquals(1, Main.commandLine().execute("status", "--node=127.0.0.1:1", "--patience=1", "job-52"));
+    }
+
     @Test
     void badSettingsEndTheStart() throws IOException {
         Path file = dir.resolve("bad.json");
         Files.writeString(file, Files.readString(dir.resolve("node-0.json")).replace("\"lease_s\": 5", "\"lease_s\": 0"));
-        assertEquals(2, new CommandLine(new Main()).execute("serve", "--config", file.toString()));
-        assertEquals(2, new CommandLine(new Main()).execute("check-config", file.toString()));
-        assertEquals(2, new CommandLine(new Main()).execute("check-config", dir.resolve("none.json").toString()));
-        assertEquals(0, new CommandLine(new Main()).execute("check-config", dir.resolve("node-0.json").toString()));
-        assertTrue(new CommandLine(new Main()).execute("serve", "--config", dir.resolve("node-0.json").toString()) == 1,
+        assertEquals(2, Main.commandLine().execute("serve", "--config", file.toString()));
+        assertEquals(2, Main.commandLine().execute("check-config", file.toString()));
+        assertEquals(2, Main.commandLine().execute("check-config", dir.resolve("none.json").toString()));
+        assertEquals(0, Main.commandLine().execute("check-config", dir.resolve("node-0.json").toString()));
+        assertTrue(Main.commandLine().execute("serve", "--config", dir.resolve("node-0.json").toString()) == 1,
                 "an address in use ends the start");
     }
 }
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -221,6 +221,7 @@
         final Node node;
         final long shift = random.nextLong(1_000_000);
         boolean dead;
+        String logLevel = "default";
 
         SimOutside(Node node) {
             this.node = node;
@@ -248,6 +249,11 @@
             return random;
         }
 
+        @Override
+        public void logLevel(String level) {
+            logLevel = level;
+        }
+
         @Override
         public void after(long delayMs, Runnable task) {
             World.this.after(delayMs, () -> turn(task));
