--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -26,6 +26,9 @@
     /** Clocks drift apart by 0.05% at most; this is twice that, and a little for the timers. */
     private static final double DRIFT = 0.001;
 
+    /** The leader key's lease in report intervals: users wait that long after a crash. */
+    private static final double LIFE_IN_REPORTS = 0.6;
+
     private static final long TIMER_SLACK_MS = 50;
     private static final long WATCH_MS = 10_000;
 
@@ -63,7 +66,7 @@
         this.state = state;
         this.settings = settings;
         this.listener = listener;
-        this.lifeMs = Math.max(2000, Math.min(5000, Math.round(settings.workers().reportS() * 1000)));
+        this.lifeMs = Math.max(1000, Math.min(5000, Math.round(settings.workers().reportS() * LIFE_IN_REPORTS * 1000)));
         this.ackedAt = new long[settings.peers().size()];
     }
 
