--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.Settings;
 
 /**
  * Makes room for tasks that may ask for it: by stopping work of lower priority, or work that another team runs
@@ -102,12 +103,24 @@
         kept[2] += job.spec.memoryGb();
         for (Claim v : bestVictims) {
             give(going, v);
-            boolean hurry = job.spec.priority() == JobSpec.Priority.CRITICAL;
-            stops.add(new Stop(v, hurry ? 0 : v.job.spec.saveS(), job));
+            stops.add(new Stop(v, hurry(job, v) ? 0 : v.job.spec.saveS(), job));
         }
         return true;
     }
 
+    /** Saving takes time; work that has to start within a few seconds can't wait for it. */
+    private boolean hurry(Job job, Claim victim) {
+        if (job.spec.priority() == JobSpec.Priority.CRITICAL) {
+            return true;
+        }
+        for (Settings.Objective aim : board.settings.objectives()) {
+            if (job.withinGuarantee && aim.kind().equals("guarantee") && aim.withinS() < 2 * victim.job.spec.saveS()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The tasks to stop on this machine so that one more task of the job fits; null when that can't be done. */
     private List<Claim> victims(Job job, Machine m, long now, Set<Claim> going, double[] kept) {
         double cpus = m.type.cpus() - kept[0] - job.spec.cpus();
