--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -99,7 +99,7 @@
             m.idleSince = now;
             events.changed();
         }
-        if (!m.heard && m.rentedAt != 0) {
+        if (!m.heard && m.booting) {
             LOG.info("machine {} is up in {} after {} s", m.name, r.zone(), (now - m.rentedAt) / 1000);
         }
         if (r.session() > m.session) {
@@ -107,6 +107,7 @@
             m.settling.clear();
         }
         m.heard = true;
+        m.booting = false;
         m.heardAt = now;
         m.session = r.session();
         m.seq = r.seq();
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -37,6 +37,10 @@
     double noticeS = -1;
 
     long rentedAt;
+
+    /** Known to be coming up, since this leader rented it or the list said so. */
+    boolean booting;
+
     boolean listed;
     long missingSince;
     boolean draining;
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -167,6 +167,11 @@
         if (job.spec.priority().compareTo(c.job.spec.priority()) < 0) {
             return true;
         }
+        // A team's guarantee could also be met by stopping more urgent work of another. That work would come back at
+        // once as the head of the queue and be stopped again: on one day a service was stopped five times so.
+        if (job.spec.priority().compareTo(c.job.spec.priority()) > 0) {
+            return false;
+        }
         double[] back = givenBack.getOrDefault(c.job.spec.team(), new double[2]);
         return job.withinGuarantee && !c.job.withinGuarantee && !c.job.spec.team().equals(job.spec.team())
                 && board.beyondGuarantee(c.job.spec.team(), back[0] + givenCpus, back[1] + givenGpus);
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -170,6 +170,7 @@
             if (m.rentedAt == 0) {
                 m.rentedAt = now - Math.round(l.ageS() * 1000);
             }
+            m.booting |= !m.heard && l.state().equals("booting");
             if (l.state().equals("failed") && !m.deleting) {
                 LOG.info("machine {} has failed", m.name);
                 m.deleting = true;
@@ -426,6 +427,7 @@
                 m.typeName = r.type.name();
                 m.spot = r.spot;
                 m.rentedAt = r.sentAt;
+                m.booting = !m.heard;
                 board.setZone(m, r.zone);
             }
             if (names.size() < r.count) {
--- /dev/null
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -0,0 +1,95 @@
+package stileferry.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Settings;
+
+class PreemptionTest {
+    private static final long NOW = 100_000;
+
+    private Board board;
+    private Placement placement;
+    private Machine machine;
+    private int jobs;
+
+    @BeforeEach
+    void oneMachine() {
+        Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za"),
+                List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)), List.of(),
+                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100);
+        board = new Board(settings);
+        board.types = List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za")));
+        placement = new Placement(board);
+        machine = board.machine("m");
+        machine.type = board.types.get(0);
+        board.setZone(machine, "za");
+        machine.heard = true;
+        machine.heardAt = NOW;
+    }
+
+    private Job job(String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
+        Job job = new Job(new JobSpec("job-" + ++jobs, "any", team, kind, priority, tasks, cpus, 0, 1, "img", 1, null, null,
+                false, false, true, 60, 0, 0, -1), jobs, 0, 128, 0);
+        job.accepted = true;
+        board.jobs.put(job.spec.id(), job);
+        return job;
+    }
+
+    private Claim run(Job job, long since) {
+        Claim claim = new Claim(job, job.taken.nextClearBit(0), jobs, "m", 1, since);
+        claim.durable = true;
+        claim.runsSent = 1;
+        claim.runningAt = since;
+        board.add(claim);
+        return claim;
+    }
+
+    private List<Preemption.Stop> decide() {
+        List<Job> waiting = placement.pass(NOW, 1000, (job, machines) -> { });
+        return new Preemption(board, placement).decide(waiting, NOW, 60_000, 1000);
+    }
+
+    @Test
+    void theLeastLossGoesFirst() {
+        Job idle = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.IDLE, 2, 4);
+        run(idle, 10_000);
+        Claim young = run(idle, 90_000);
+        job("blue", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 1, 2);
+        List<Preemption.Stop> stops = decide();
+        assertEquals(1, stops.size(), "one is enough");
+        assertEquals(young, stops.get(0).victim());
+        assertEquals(0, stops.get(0).graceS(), "critical work does not wait for others to save");
+    }
+
+    @Test
+    void aGuaranteeTakesBorrowedRoomBackButNoMore() {
+        Job borrowed = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 4, 2);
+        for (int i = 0; i < 4; i++) {
+            run(borrowed, 10_000);
+        }
+        job("red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 4, 2);
+        assertEquals(3, decide().size(), "blue keeps the 2 CPUs of its own guarantee");
+    }
+
+    /** Found on the bench: a service of another team was stopped again and again for arrays within a guarantee. */
+    @Test
+    void moreUrgentWorkIsNotStoppedForAGuarantee() {
+        Job service = job("blue", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 1, 8);
+        run(service, 10_000);
+        job("red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 2);
+        assertTrue(decide().isEmpty());
+    }
+
+    @Test
+    void equalWorkOfTheSameTeamIsNotStopped() {
+        run(job("red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 8), 10_000);
+        job("red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 2);
+        assertTrue(decide().isEmpty());
+    }
+}
