--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -447,7 +447,7 @@
 
     private void refuse(String group, Rental r) {
         Refusal refusal = refusals.computeIfAbsent(group, g -> new Refusal());
-        long pause = Math.round(r.type.bootS() * 500) << Math.min(2, refusal.count++);
+        long pause = Math.round(r.type.bootS() * 500) << Math.min(1, refusal.count++);
         refusal.until = outside.now() + pause;
         LOG.info("no more {} {} in {}, asking again in {} s", r.spot ? "spot" : "ordinary", r.type.name(), r.zone,
                 pause / 1000);
