--- /dev/null
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -0,0 +1,91 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Report;
+import stileferry.protocol.Settings;
+
+/**
+ * Keeps workers' leases alive while nobody can lead, as when the state service is down and the leader has crashed.
+ *
+ * <p>A report may be answered with the worker's own token, and without commands, once every other controller has said,
+ * after the report arrived, that it does not lead. A leader of that token is then gone for good, since nobody resumes a
+ * term and later terms are higher; so nobody counts on that lease lapsing. A later leader counts a lapse only from when
+ * the worker accepted its term, or every controller acknowledged it.
+ */
+final class Caretaker {
+    private static final Logger LOG = LoggerFactory.getLogger("caretaker");
+    private static final long ANSWER_MS = 800;
+
+    private final Outside outside;
+    private final Leadership leadership;
+    private final List<Settings.Peer> peers;
+    private List<Waiting> waiting = new ArrayList<>();
+    private boolean asking;
+    private boolean active;
+
+    private record Waiting(Report report, BiConsumer<Integer, ObjectNode> reply) {}
+
+    Caretaker(Outside outside, Leadership leadership, List<Settings.Peer> peers) {
+        this.outside = outside;
+        this.leadership = leadership;
+        this.peers = peers;
+    }
+
+    /** Takes a report that no leader can be found for. */
+    void take(Report report, BiConsumer<Integer, ObjectNode> reply) {
+        waiting.add(new Waiting(report, reply));
+        ask();
+    }
+
+    private void ask() {
+        if (asking || waiting.isEmpty()) {
+            return;
+        }
+        asking = true;
+        List<Waiting> batch = waiting;
+        waiting = new ArrayList<>();
+        int[] open = {peers.size()};
+        boolean[] alone = {true};
+        for (Settings.Peer peer : peers) {
+            outside.peer(peer, leadership.words(), ANSWER_MS, record -> {
+                if (record instanceof PeerRecord.Term t) {
+                    leadership.learn(t.term(), t.leading() ? t.leader() : "");
+                    alone[0] &= !t.leading();
+                } else {
+                    alone[0] = false; // silence does not say that it doesn't lead
+                }
+                if (--open[0] == 0) {
+                    answer(batch, alone[0] && !leadership.leading());
+                }
+            });
+        }
+        if (peers.isEmpty()) {
+            answer(batch, !leadership.leading());
+        }
+    }
+
+    private void answer(List<Waiting> batch, boolean entitled) {
+        asking = false;
+        if (entitled != active) {
+            active = entitled;
+            LOG.info(entitled ? "nobody leads, all controllers agree: keeping workers' leases alive"
+                    : "no longer keeping workers' leases alive");
+        }
+        for (Waiting w : batch) {
+            if (entitled) {
+                w.reply.accept(200, Messages.signals(w.report.token(), List.of()));
+            } else {
+                w.reply.accept(503, Messages.error("no leader known"));
+            }
+        }
+        ask();
+    }
+}
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -40,6 +40,8 @@
     private final Counters counters = new Counters();
     private final long reportMs;
     private final long leaseMs;
+    private final long startedAt;
+    private final Caretaker caretaker;
 
     /** Workers that were sent to the leader: when, and to whom. */
     private final Cache<String, Sent> sentAway =
@@ -59,6 +61,8 @@
         this.leadership = new Leadership(outside, state, settings, this);
         this.reportMs = Math.round(settings.workers().reportS() * 1000);
         this.leaseMs = Math.round(settings.workers().leaseS() * 1000);
+        this.startedAt = outside.now();
+        this.caretaker = new Caretaker(outside, leadership, settings.peers());
     }
 
     /** Begins to follow or run for the leadership. */
@@ -211,7 +215,7 @@
     private void redirect(Report report, byte[] body, BiConsumer<Integer, ObjectNode> reply) {
         Settings.Peer peer = leadership.leaderPeer();
         if (peer == null) {
-            reply.accept(503, Messages.error("no leader known"));
+            withoutLeader(report, reply);
             return;
         }
         long now = outside.now();
@@ -226,11 +230,20 @@
                     if (answer instanceof PeerRecord.Answer a && Wire.decode(a.body()) instanceof ObjectNode o) {
                         reply.accept(a.status(), o);
                     } else {
-                        reply.accept(503, Messages.error("the leader does not answer"));
+                        withoutLeader(report, reply);
                     }
                 });
     }
 
+    /** Nobody to send a worker to: for a short time that is no matter, later its lease has to be kept alive. */
+    private void withoutLeader(Report report, BiConsumer<Integer, ObjectNode> reply) {
+        if (leader == null && outside.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 4) {
+            caretaker.take(report, reply);
+        } else {
+            reply.accept(503, Messages.error("no leader known"));
+        }
+    }
+
     // ---- other controllers
 
     /** Takes a record from another controller. */
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -124,7 +124,12 @@
     /** Takes what another controller says and answers with what this one knows. */
     PeerRecord.Term hear(PeerRecord.Term heard) {
         learn(heard.term(), heard.leader());
-        return new PeerRecord.Term(term, leader());
+        return words();
+    }
+
+    /** What this controller tells others. */
+    PeerRecord.Term words() {
+        return new PeerRecord.Term(term, leader(), leading);
     }
 
     /** Takes a term seen anywhere: in another controller's words or in a worker's report. */
@@ -325,7 +330,7 @@
         long told = term;
         for (int i = 0; i < ackedAt.length; i++) {
             int peer = i;
-            outside.peer(settings.peers().get(i), new PeerRecord.Term(told, settings.node()), 1000, record -> {
+            outside.peer(settings.peers().get(i), words(), 1000, record -> {
                 if (record instanceof PeerRecord.Term answer) {
                     if (leading && term == told && answer.term() == told && ackedAt[peer] < 0) {
                         ackedAt[peer] = outside.now();
--- a/src/main/java/stileferry/protocol/PeerRecord.java
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -19,8 +19,8 @@
     /** The leader's answer to a forwarded request. */
     record Answer(int status, int retryAfterS, byte[] body) implements PeerRecord {}
 
-    /** The highest term its sender knows and who leads in it (empty: nobody known). */
-    record Term(long term, String leader) implements PeerRecord {}
+    /** The highest term its sender knows, who leads in it (empty: nobody known), and whether the sender does. */
+    record Term(long term, String leader, boolean leading) implements PeerRecord {}
 
     /** Writes a record. */
     static byte[] write(PeerRecord record) {
@@ -40,6 +40,7 @@
                 out.writeByte(3);
                 out.writeLong(t.term());
                 out.writeUTF(t.leader());
+                out.writeBoolean(t.leading());
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -61,7 +62,7 @@
                 case 2:
                     return new Answer(in.readShort(), in.readInt(), readBytes(in));
                 case 3:
-                    return new Term(in.readLong(), in.readUTF());
+                    return new Term(in.readLong(), in.readUTF(), in.readBoolean());
                 default:
                     return null;
             }
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -126,13 +126,10 @@
     @Test
     void aFalseProofIsCaught() {
         World w = new World(100);
-        SplittableRandom r = w.random.split();
         w.play(3);
-        for (int i = 0; i < 40; i++) {
-            JobSpec spec = job(i, r);
-            if (spec.service()) {
-                w.submit(spec);
-            }
+        for (int i = 0; i < 12; i++) {
+            w.submit(new JobSpec("job-" + i, "any", "free", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 2, 2, 0, 1,
+                    "img", 1, null, null, false, false, false, 0, 0, 0, -1));
         }
         w.play(15);
         Worker worker = w.workers.get("w-" + w.machineInUse() + ":1");
@@ -171,6 +168,34 @@
         assertTrue(deletions > 0 && deletions <= 5, deletions + " deletions");
     }
 
+    /** Found on a day of our own: an outage during which all controllers crash ended every task, for want of answers. */
+    @Test
+    void tasksOutliveAnOutageInWhichAllControllersCrash() {
+        World w = new World(12);
+        w.play(3);
+        SplittableRandom r = w.random.split();
+        for (int i = 0; i < 40; i++) {
+            JobSpec spec = job(i, r);
+            if (spec.service()) {
+                w.submit(spec);
+            }
+        }
+        w.play(30);
+        int running = w.starts - w.ended;
+        int ended = w.ended;
+        assertTrue(running > 3, "too little runs: " + running);
+        w.stateDown = true;
+        w.play(1);
+        w.nodes.values().forEach(n -> restart(w, n, 4000));
+        w.play(60); // six leases
+        w.stateDown = false;
+        w.state.renewAll(w.now);
+        w.play(20);
+        assertEquals(ended, w.ended, "no task ended");
+        assertEquals(running, w.starts - w.ended);
+        assertEquals(List.of(), w.violations);
+    }
+
     @Test
     void aLeaderIsFoundSoonAfterACrash() {
         World w = new World(5);
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -54,6 +54,7 @@
     private final Settings template;
     int starts;
     int finished;
+    int ended;
 
     private record Event(long at, long id, Runnable task) implements Comparable<Event> {
         @Override
@@ -379,6 +380,7 @@
             @Override
             public void ended(String task, Worker w) {
                 taskOn.remove(task, w.machine() + "|" + w.zone());
+                ended++;
             }
         };
     }
--- a/src/test/java/stileferry/protocol/MessagesTest.java
+++ b/src/test/java/stileferry/protocol/MessagesTest.java
@@ -84,7 +84,7 @@
         assertEquals(f.ask(), back.ask());
         assertEquals(f.id(), back.id());
         assertArrayEquals(f.body(), back.body());
-        PeerRecord.Term t = new PeerRecord.Term(9, "n1");
+        PeerRecord.Term t = new PeerRecord.Term(9, "n1", true);
         assertEquals(t, PeerRecord.read(PeerRecord.write(t)));
         PeerRecord.Answer a = (PeerRecord.Answer) PeerRecord.read(PeerRecord.write(
                 new PeerRecord.Answer(503, 30, new byte[0])));
