--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -38,6 +38,7 @@
     private final String requestPrefix;
     private final Map<String, Refusal> refusals = new HashMap<>();
     private final List<Rental> rentals = new ArrayList<>();
+    private final long since;
     private long requests;
     private boolean listing;
     private long listedAt = -1;
@@ -103,6 +104,7 @@
         this.outside = outside;
         this.fleet = fleet;
         this.calls = new Budget(outside, board.settings.cloud().rps() * 0.8, 1.5);
+        this.since = outside.now();
         // No other leader has this term, so no name of a rental request is ever used twice.
         this.requestPrefix = "r-" + board.settings.node() + "-" + term + "-";
     }
@@ -170,7 +172,9 @@
             if (m.rentedAt == 0) {
                 m.rentedAt = now - Math.round(l.ageS() * 1000);
             }
-            m.booting |= !m.heard && l.state().equals("booting");
+            if (!m.heard) {
+                m.booting = l.state().equals("booting");
+            }
             if (l.state().equals("failed") && !m.deleting) {
                 LOG.info("machine {} has failed", m.name);
                 m.deleting = true;
@@ -200,7 +204,7 @@
                 continue;
             }
             String why = null;
-            long quiet = now - Math.max(m.heardAt, m.rentedAt);
+            long quiet = now - Math.max(since, m.rentedAt); // a new leader has not been there to hear it before
             if (m.missingSince != 0 && now - m.missingSince > lag / 2 && (fleet.silent(m) || !m.heard)) {
                 // Listed before and not listed now: it is gone. Deleting it is free and makes that certain.
                 why = "it is not listed any more";
@@ -293,7 +297,7 @@
                 continue;
             }
             perZone.merge(m.zone, 1, Integer::sum);
-            if (!m.heard) {
+            if (m.booting) { // what is said to run but does not report is no room to count on
                 coming.add(new Bin(m.type, m.zone, m.spot));
             }
         }
