--- a/src/main/java/stileferry/cli/AdminCommand.java
+++ b/src/main/java/stileferry/cli/AdminCommand.java
@@ -21,7 +21,8 @@
         name = "admin",
         description = "Reads and changes the operators' settings, and shows what the leader knows.",
         mixinStandardHelpOptions = true,
-        subcommands = {AdminCommand.Get.class, AdminCommand.Set.class, AdminCommand.Reset.class, AdminCommand.Show.class})
+        subcommands = {AdminCommand.Get.class, AdminCommand.Set.class, AdminCommand.Reset.class,
+            AdminCommand.Show.class})
 final class AdminCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -117,7 +118,8 @@
 
     /** Shows a view. */
     @Command(name = "show", description = "Shows leader, machines, queue, teams or counters, as JSON.",
-            mixinStandardHelpOptions = true, footer = {"", "Example: stileferry admin show --node 127.0.0.1:7701 queue"})
+            mixinStandardHelpOptions = true,
+            footer = {"", "Example: stileferry admin show --node 127.0.0.1:7701 queue"})
     static final class Show implements Callable<Integer> {
         /** What can be shown. */
         enum View { LEADER, MACHINES, QUEUE, TEAMS, COUNTERS }
--- a/src/main/java/stileferry/cli/Connection.java
+++ b/src/main/java/stileferry/cli/Connection.java
@@ -45,7 +45,8 @@
             out.println(json ? answer.body().toString() : text.apply(answer.body()));
             return 0;
         }
-        String reason = answer.body() == null ? "" : ": " + answer.body().path("error").asText(answer.body().toString());
+        String reason = answer.body() == null ? ""
+                : ": " + answer.body().path("error").asText(answer.body().toString());
         err.println("stileferry: " + (status <= 0 ? "no answer from " + nodes : "refused with " + status + reason));
         return status >= 400 && status < 500 && status != 429 ? REFUSED : FAILED;
     }
--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -72,7 +72,8 @@
             return;
         }
         double elsewhere = free - (best.type.cpus() - best.usedCpus());
-        if (elsewhere >= best.usedCpus() + Math.max(best.type.cpus(), all * board.options.number(Options.EMPTY_SHARE))) {
+        double keep = Math.max(best.type.cpus(), all * board.options.number(Options.EMPTY_SHARE));
+        if (elsewhere >= best.usedCpus() + keep) {
             LOG.info("emptying machine {} with {} tasks, {} CPUs are free elsewhere", best.name, best.claims.size(),
                     elsewhere);
             best.draining = true;
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -211,7 +211,7 @@
         }
     }
 
-    /** Names the leader; a worker that comes back although it was sent there can't reach it, so its report is passed on. */
+    /** Names the leader; a worker that comes back all the same can't reach it, so its report is passed on. */
     private void redirect(Report report, byte[] body, BiConsumer<Integer, ObjectNode> reply) {
         Settings.Peer peer = leadership.leaderPeer();
         if (peer == null) {
--- a/src/main/java/stileferry/coordination/Counters.java
+++ b/src/main/java/stileferry/coordination/Counters.java
@@ -16,7 +16,8 @@
     private final Map<String, Long> answers = new TreeMap<>();
 
     void count(PeerRecord.Ask ask, int status, long tookMs) {
-        times.computeIfAbsent(ask, a -> new Histogram(LONGEST_MS, 2)).recordValue(Math.min(LONGEST_MS, Math.max(0, tookMs)));
+        times.computeIfAbsent(ask, a -> new Histogram(LONGEST_MS, 2))
+                .recordValue(Math.min(LONGEST_MS, Math.max(0, tookMs)));
         answers.merge(name(ask) + " " + status, 1L, Long::sum);
     }
 
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -109,7 +109,7 @@
         return leaderHeardAt;
     }
 
-    /** When the last controller acknowledged this term, so that none answers a report with an older one; -1: not yet. */
+    /** When the last controller acknowledged this term, after which none speaks for an older one; -1: not yet. */
     long allAckedAt() {
         long last = ledSince;
         for (long at : ackedAt) {
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -131,8 +130,4 @@
     boolean hasImage(String image) {
         return images.containsKey(image);
     }
-
-    Set<String> imageNames() {
-        return new LinkedHashSet<>(images.keySet());
-    }
 }
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -201,7 +201,8 @@
         for (Machine m : board.machines.values()) {
             allowed += m.type != null && allowed(job, m, now) ? 1 : 0;
         }
-        return allowed == 0 ? "no machine that it may use is up" : "no room on " + allowed + " machines that it may use";
+        return allowed == 0 ? "no machine that it may use is up"
+                : "no room on " + allowed + " machines that it may use";
     }
 
     /** Everything but room: type, zone, kind of machine, the job's other tasks, and the machine's health. */
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -211,7 +211,8 @@
             } else if (!m.heard && m.type != null && m.claims.isEmpty() && m.rentedAt != 0
                     && now - m.rentedAt > BOOT_PATIENCE * 1000 * m.type.bootS() && settled) {
                 why = "it never came up";
-            } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce && quiet > 2 * lag + lease) {
+            } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce
+                    && quiet > 2 * lag + lease) {
                 why = "nobody knows it";
             } else if (m.heard && m.lapsedSession >= m.session && now - m.heardAt > 3 * lease) {
                 why = "it is silent";
@@ -219,7 +220,8 @@
                     && (m.noticeS >= 0 || m.faulty || m.draining)) {
                 why = "it is empty and shall not be used";
             } else if (m.heard && m.claims.isEmpty() && settled && m.type != null && !m.strays
-                    && now - m.idleSince > idleMs(m) && now - m.rentedAt > PAID_MS && (m.spot || spare >= m.type.cpus())) {
+                    && now - m.idleSince > idleMs(m) && now - m.rentedAt > PAID_MS
+                    && (m.spot || spare >= m.type.cpus())) {
                 why = "it is idle";
                 spare -= m.spot ? 0 : m.type.cpus();
             }
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -27,7 +27,8 @@
         Coordinator coordinator = new Coordinator(settings, outside);
         owner.afterBatch(coordinator::endOfBatch);
         peers = server(settings.peerListen(), settings.maxSockets() / 8, new PeerServer(owner, coordinator));
-        users = server(settings.clientListen(), settings.maxSockets() * 3 / 4, new UserServer(owner, coordinator, UserLimit.create()));
+        users = server(settings.clientListen(), settings.maxSockets() * 3 / 4,
+                new UserServer(owner, coordinator, UserLimit.create()));
         try {
             peers.start();
             users.start();
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -90,7 +90,8 @@
             Outside.Reply reply = (status, answer) ->
                     UserServer.send(exchange, status, 0, answer == null ? NOTHING : Wire.encode(answer));
             if (path.equals("/commands")) {
-                Worker worker = workers.get(exchange.getDestinationAddress().getAddress().getHostAddress() + ":" + port);
+                String host = exchange.getDestinationAddress().getAddress().getHostAddress();
+                Worker worker = workers.get(host + ":" + port);
                 if (worker == null) {
                     reply.done(404, null);
                 } else {
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -67,7 +67,7 @@
         List<String> machines = w.cloud.up();
         String machine = machines.isEmpty() ? null : machines.get(r.nextInt(machines.size()));
         String addr = "w-" + machine + ":1";
-        switch (r.nextInt(9)) {
+        switch (r.nextInt(10)) {
             case 0, 1 -> restart(w, node, r.nextBoolean() ? 300 : 5000);
             case 2 -> nodes.forEach(n -> restart(w, n, 1000 + r.nextLong(4000)));
             case 3 -> w.cut(node.settings.node(), 1000 + r.nextLong(20_000));
@@ -88,6 +88,13 @@
                     w.cloud.take(machine);
                 }
             }
+            case 8 -> {
+                Worker sick = w.workers.get(addr);
+                if (sick != null) {
+                    sick.faulty(true);
+                    w.after(15_000, () -> sick.faulty(false));
+                }
+            }
             default -> {
                 w.lostAnswers = 0.2;
                 w.after(4000, () -> w.lostAnswers = 0);
