Round: only a leader's own words name the leader; caretaking after an eighth of a lease

Cause: a follower's belief in a leader long gone was passed on as news, which kept the others from caretaking.

--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -57,7 +57,7 @@
         for (Settings.Peer peer : peers) {
             outside.peer(peer, leadership.words(), ANSWER_MS, record -> {
                 if (record instanceof PeerRecord.Term t) {
-                    leadership.learn(t.term(), t.leading() ? t.leader() : "");
+                    leadership.learn(t);
                     alone[0] &= !t.leading();
                 } else {
                     alone[0] = false; // silence does not say that it doesn't lead
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -237,7 +237,7 @@
 
     /** Nobody to send a worker to: for a short time that is no matter, later its lease has to be kept alive. */
     private void withoutLeader(Report report, BiConsumer<Integer, ObjectNode> reply) {
-        if (leader == null && outside.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 4) {
+        if (leader == null && outside.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 8) {
             caretaker.take(report, reply);
         } else {
             reply.accept(503, Messages.error("no leader known"));
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -123,7 +123,7 @@
 
     /** Takes what another controller says and answers with what this one knows. */
     PeerRecord.Term hear(PeerRecord.Term heard) {
-        learn(heard.term(), heard.leader());
+        learn(heard);
         return words();
     }
 
@@ -132,6 +132,11 @@
         return new PeerRecord.Term(term, leader(), leading);
     }
 
+    /** Takes another controller's words. Only a leader speaks for itself: whom others believe in may be long gone. */
+    void learn(PeerRecord.Term heard) {
+        learn(heard.term(), heard.leading() ? heard.leader() : "");
+    }
+
     /** Takes a term seen anywhere: in another controller's words or in a worker's report. */
     void learn(long heardTerm, String heardLeader) {
         if (heardTerm < term) {
@@ -335,7 +340,7 @@
                     if (leading && term == told && answer.term() == told && ackedAt[peer] < 0) {
                         ackedAt[peer] = outside.now();
                     }
-                    learn(answer.term(), answer.leader());
+                    learn(answer);
                 }
             });
         }
