--- a/src/main/java/stileferry/protocol/Options.java
+++ b/src/main/java/stileferry/protocol/Options.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.DoubleNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -112,8 +111,7 @@
             throw new Invalid("change: a map of settings is missing");
         }
         Map<String, JsonNode> values = new TreeMap<>(changed);
-        for (Iterator<Map.Entry<String, JsonNode>> it = change.fields(); it.hasNext();) {
-            Map.Entry<String, JsonNode> e = it.next();
+        for (Map.Entry<String, JsonNode> e : change.properties()) {
             check(definition(e.getKey()), e.getValue());
             values.put(e.getKey(), e.getValue());
         }
--- a/src/main/java/stileferry/transport/UserLimit.java
+++ b/src/main/java/stileferry/transport/UserLimit.java
@@ -19,7 +19,7 @@
 
     static Limiter<Void> create(LongSupplier nanos) {
         return SimpleLimiter.newBuilder()
-                .clock(nanos::getAsLong)
+                .nanoClock(nanos)
                 .limit(Gradient2Limit.newBuilder().minLimit(LEAST).initialLimit(FIRST).maxConcurrency(MOST).build())
                 .build();
     }
