--- a/src/main/java/stileferry/cli/Main.java
+++ b/src/main/java/stileferry/cli/Main.java
@@ -11,7 +11,7 @@
         description = "A cluster scheduler.",
         mixinStandardHelpOptions = true,
         version = "stileferry 0.1.0",
-        subcommands = {Serve.class, CheckConfig.class, Rehearse.class},
+        subcommands = {Serve.class, CheckConfig.class, StandIns.class, Rehearse.class},
         footer = {"", "Exit codes: 0 done, 1 failed, 2 wrong usage or settings."})
 public final class Main implements Runnable {
     private static final Map<String, String> LEVELS = Map.of("error", "error", "info", "info", "debug", "debug");
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -102,7 +102,7 @@
                 new Ledger.Entry("c/" + spec.id() + "/" + n, revision, () -> writeChunk(n)));
     }
 
-    private ObjectNode writeChunk(int number) {
+    ObjectNode writeChunk(int number) {
         int from = number * chunkTasks;
         int to = Math.min(spec.tasks(), from + chunkTasks);
         StringBuilder hex = new StringBuilder();
--- a/src/main/java/stileferry/standin/Worker.java
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -37,6 +37,15 @@
 
     /** Told what really happens on the machine. */
     public interface Watcher {
+        /** Watches nothing. */
+        Watcher NOBODY = new Watcher() {
+            @Override
+            public void started(String task, Worker worker) { }
+
+            @Override
+            public void ended(String task, Worker worker) { }
+        };
+
         /** A task has its image and is on the machine from now on. */
         void started(String task, Worker worker);
 
--- /dev/null
+++ b/src/main/java/stileferry/transport/Loop.java
@@ -0,0 +1,36 @@
+package stileferry.transport;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** The one worker with its one IO thread and its buffers, which servers and clients of a process share. */
+final class Loop implements AutoCloseable {
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    final XnioWorker worker;
+    final XnioIoThread thread;
+    final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
+    final HttpCaller http;
+
+    Loop() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+        thread = worker.getIoThread();
+        http = new HttpCaller(thread, buffers);
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+    }
+}
--- a/src/main/java/stileferry/transport/NetworkOutside.java
+++ b/src/main/java/stileferry/transport/NetworkOutside.java
@@ -23,10 +23,10 @@
     private final RandomGenerator random = new SplittableRandom();
     private volatile boolean closed;
 
-    NetworkOutside(Owner owner, XnioIoThread thread, HttpCaller http) {
+    NetworkOutside(Owner owner, Loop loop) {
         this.owner = owner;
-        this.thread = thread;
-        this.http = http;
+        this.thread = loop.thread;
+        this.http = loop.http;
     }
 
     void close() {
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -2,62 +2,46 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
 import stileferry.coordination.Coordinator;
 import stileferry.protocol.Settings;
 
 /** One controller's sockets: both servers and the client share one worker with one IO thread. */
 public final class Node implements AutoCloseable {
-    private static final int BUFFER_BYTES = 8 * 1024;
-
     /** Connections that say nothing for this long are closed; users poll every 5 s, workers report more often. */
     private static final int IDLE_MS = 60_000;
 
-    private final XnioWorker worker;
+    private final Loop loop = new Loop();
+    private final Owner owner;
     private final NetworkOutside outside;
     private final Undertow users;
     private final Undertow peers;
 
     /** Opens the addresses and begins to work. */
     public Node(Settings settings) throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 0)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
-        XnioIoThread thread = worker.getIoThread();
-        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
-        Owner owner = new Owner(thread);
-        outside = new NetworkOutside(owner, thread, new HttpCaller(thread, buffers));
+        owner = new Owner(loop.thread);
+        outside = new NetworkOutside(owner, loop);
         Coordinator coordinator = new Coordinator(settings, outside);
         owner.afterBatch(coordinator::endOfBatch);
-        peers = server(settings.peerListen(), buffers, new PeerServer(owner, coordinator));
-        users = server(settings.clientListen(), buffers, new UserServer(owner, coordinator));
-        peers.start();
+        peers = server(settings.peerListen(), new PeerServer(owner, coordinator));
+        users = server(settings.clientListen(), new UserServer(owner, coordinator));
         try {
+            peers.start();
             users.start();
         } catch (RuntimeException e) {
-            peers.stop();
-            worker.shutdownNow();
+            close(); // the other address and the threads must not outlive a failed start
             throw e;
         }
         owner.submit(coordinator::start);
     }
 
-    private Undertow server(InetSocketAddress listen, ByteBufferPool buffers, HttpHandler handler) {
+    private Undertow server(InetSocketAddress listen, HttpHandler handler) {
         return Undertow.builder()
-                .setWorker(worker)
-                .setByteBufferPool(buffers)
+                .setWorker(loop.worker)
+                .setByteBufferPool(loop.buffers)
                 .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
                 .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
@@ -72,9 +56,10 @@
 
     @Override
     public void close() {
+        owner.close();
         outside.close();
         users.stop();
         peers.stop();
-        worker.shutdownNow();
+        loop.close();
     }
 }
--- a/src/main/java/stileferry/transport/Owner.java
+++ b/src/main/java/stileferry/transport/Owner.java
@@ -16,6 +16,7 @@
     private final ManyToOneConcurrentArrayQueue<Runnable> queue = new ManyToOneConcurrentArrayQueue<>(CAPACITY);
     private final AtomicBoolean scheduled = new AtomicBoolean();
     private Runnable afterBatch = () -> { };
+    private volatile boolean closed;
 
     Owner(XnioIoThread thread) {
         this.thread = thread;
@@ -26,9 +27,14 @@
         afterBatch = task;
     }
 
+    /** From now on nothing is taken any more. */
+    void close() {
+        closed = true;
+    }
+
     /** Queues a command that may be refused when the owner is far behind. */
     boolean offer(Runnable command) {
-        if (!queue.offer(command)) {
+        if (closed || !queue.offer(command)) {
             return false;
         }
         schedule();
@@ -37,7 +43,7 @@
 
     /** Queues a command that must not be lost: a reply or a timer. */
     void submit(Runnable command) {
-        if (!offer(command)) {
+        if (!closed && !offer(command)) {
             thread.execute(() -> submit(command));
         }
     }
--- /dev/null
+++ b/src/test/java/stileferry/cli/ServiceTest.java
@@ -0,0 +1,163 @@
+package stileferry.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+import stileferry.Controller;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Wire;
+import stileferry.transport.StandInHost;
+import stileferry.transport.UserClient;
+
+/** The real service over loopback, against this project's stand-ins. */
+class ServiceTest {
+    private static final byte[] NOTHING = new byte[0];
+
+    @TempDir
+    static Path dir;
+
+    private static int port;
+    private static StandInHost standIns;
+    private static final List<Controller> CONTROLLERS = new ArrayList<>();
+    private static UserClient user;
+
+    /** Seven ports in a row that are free just now. */
+    private static int freePorts() throws IOException {
+        for (int base = 20_000; base < 30_000; base += 10) {
+            int open = 0;
+            for (int i = 0; i < 7; i++) {
+                try (ServerSocket s = new ServerSocket(base + i)) {
+                    open += s.isBound() ? 1 : 0;
+                } catch (IOException e) {
+                    break;
+                }
+            }
+            if (open == 7) {
+                return base;
+            }
+        }
+        throw new IOException("no free ports");
+    }
+
+    @BeforeAll
+    static void start() throws Exception {
+        port = freePorts();
+        standIns = StandIns.start(port, dir);
+        List<String> addrs = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Controller c = Controller.builder()
+                    .settings(SettingsFile.read(dir.resolve("node-" + i + ".json")).settings()).build();
+            c.start();
+            CONTROLLERS.add(c);
+            addrs.add("127.0.0.1:" + (port + 1 + i));
+        }
+        user = new UserClient(addrs);
+        await("/ready", 200);
+        await("/work/job-0", 404);
+    }
+
+    @AfterAll
+    static void stop() {
+        user.close();
+        CONTROLLERS.forEach(Controller::close);
+        standIns.close();
+    }
+
+    private static void await(String path, int status) throws InterruptedException {
+        int last = 0;
+        for (int i = 0; i < 200; i++) {
+            last = user.once("GET", path, NOTHING).status();
+            if (last == status) {
+                return;
+            }
+            Thread.sleep(50);
+        }
+        assertEquals(status, last, path);
+    }
+
+    private static ObjectNode job(int number, JobSpec.Kind kind, int tasks) {
+        return new JobSpec("job-" + number, "any", "red", kind, JobSpec.Priority.NORMAL, tasks, 1, 0, 1, "img", 0.1, null,
+                null, false, false, false, 0.3, 0, 0, -1).write();
+    }
+
+    private static int submit(ObjectNode job) throws InterruptedException {
+        return user.ask("POST", "/work", Wire.encode(job), 10_000).status();
+    }
+
+    private static void awaitState(int number, String state) throws InterruptedException {
+        String last = "";
+        for (int i = 0; i < 200; i++) {
+            UserClient.Answer a = user.ask("GET", "/work/job-" + number, NOTHING, 10_000);
+            assertEquals(200, a.status(), "an accepted job is never unknown");
+            last = a.body().path("tide").asText();
+            if (last.equals(state)) {
+                return;
+            }
+            Thread.sleep(50);
+        }
+        assertEquals(state, last);
+    }
+
+    @Test
+    void aJobRunsAndStaysKnown() throws InterruptedException {
+        assertEquals(201, submit(job(1, JobSpec.Kind.ARRAY, 3)));
+        assertEquals(200, submit(job(1, JobSpec.Kind.ARRAY, 3)));
+        awaitState(1, "done");
+        ObjectNode changed = job(1, JobSpec.Kind.ARRAY, 3).put("cores", -5);
+        assertEquals(200, submit(changed), "a known id gets its state, whatever else the body says");
+        assertEquals(200, user.ask("POST", "/work/job-1/withdraw", NOTHING, 10_000).status());
+        awaitState(1, "done");
+    }
+
+    @Test
+    void aServiceRunsUntilItIsCancelled() throws InterruptedException {
+        assertEquals(201, submit(job(2, JobSpec.Kind.SERVICE, 2)));
+        awaitState(2, "running");
+        UserClient.Answer a = user.ask("POST", "/work/job-2/withdraw", NOTHING, 10_000);
+        assertEquals(200, a.status());
+        assertEquals("cancelled", a.body().path("tide").asText());
+        awaitState(2, "cancelled");
+    }
+
+    @Test
+    void whatCannotBeTakenIsAnsweredAtOnce() throws InterruptedException {
+        assertEquals(400, user.ask("POST", "/work", new byte[] {(byte) 0xc1}, 10_000).status());
+        assertEquals(400, user.ask("POST", "/work", Wire.encode(Wire.list()), 10_000).status());
+        assertEquals(400, submit(job(3, JobSpec.Kind.ARRAY, 1).put("cores", Double.NaN)));
+        assertEquals(422, submit(job(3, JobSpec.Kind.ARRAY, 1).put("crew", "nobody")));
+        assertEquals(422, submit(job(3, JobSpec.Kind.ARRAY, 1).put("ram_gb", 1000)));
+        assertEquals(422, submit(job(3, JobSpec.Kind.SERVICE, 25)), "more than the team's limit in all");
+        assertEquals(404, user.ask("GET", "/work/job-3", NOTHING, 10_000).status(), "a refused job is unknown");
+        assertEquals(404, user.ask("POST", "/work/job-3/withdraw", NOTHING, 10_000).status());
+        assertEquals(404, user.ask("GET", "/work/nonsense", NOTHING, 10_000).status());
+        assertEquals(404, user.ask("GET", "/elsewhere", NOTHING, 10_000).status());
+        assertEquals(405, user.ask("GET", "/work", NOTHING, 10_000).status());
+        assertEquals(405, user.ask("POST", "/ready", NOTHING, 10_000).status());
+        assertEquals(413, user.ask("POST", "/work", new byte[Wire.MAX_BODY + 1], 10_000).status());
+        assertEquals(400, user.ask("POST", "/v1/report", Wire.encode(Wire.map()), 10_000).status());
+    }
+
+    @Test
+    void badSettingsEndTheStart() throws IOException {
+        Path file = dir.resolve("bad.json");
+        Files.writeString(file, Files.readString(dir.resolve("node-0.json")).replace("\"lease_s\": 5", "\"lease_s\": 0"));
+        assertEquals(2, new CommandLine(new Main()).execute("serve", "--config", file.toString()));
+        assertEquals(2, new CommandLine(new Main()).execute("check-config", file.toString()));
+        assertEquals(2, new CommandLine(new Main()).execute("check-config", dir.resolve("none.json").toString()));
+        assertEquals(0, new CommandLine(new Main()).execute("check-config", dir.resolve("node-0.json").toString()));
+        assertTrue(new CommandLine(new Main()).execute("serve", "--config", dir.resolve("node-0.json").toString()) == 1,
+                "an address in use ends the start");
+    }
+}
--- /dev/null
+++ b/src/test/java/stileferry/protocol/SettingsReaderTest.java
@@ -0,0 +1,58 @@
+package stileferry.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsReaderTest {
+    private static final String GOOD = """
+            {"host_name":"n0","zone":"za","client_listen":"10.0.0.1:80","peer_bind":"10.0.0.1:81","new_field":[1],
+            "seeds":[{"host_name":"n1","zone":"zb","peer_addr":"10.0.0.2:81"}],
+            "outside":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+            "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":1,"cpus_max":2}],
+            "workers":{"report_s":2,"lease_s":10,"cancel_s":20},
+            "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},
+            "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000}}}
+            """;
+
+    @Test
+    void goodSettingsAreReadAndUnknownFieldsIgnored() {
+        Settings s = SettingsReader.read(GOOD).settings();
+        assertNotNull(s);
+        assertEquals("n1", s.peers().get(0).node());
+        assertEquals(81, s.peerListen().getPort());
+        assertEquals(2, s.team("red").cpusMax());
+        assertNull(s.team("blue"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"host_name\":\"n0\"|\"host_name\":7|host_name",
+        "10.0.0.1:80\"|10.0.0.1\"|client_listen",
+        "10.0.0.1:81\"|10.0.0.1:99999\"|peer_bind",
+        "\"host_name\":\"n1\"|\"host_name\":\"n0\"|seeds[0].host_name",
+        "\"lease_s\":10|\"lease_s\":0|cluster.workers.lease_s",
+        "\"report_s\":2|\"report_s\":\"soon\"|cluster.workers.report_s",
+        "\"rps\":150|\"rps\":-1|cluster.state.rps",
+        "\"txn_ops\":12|\"txn_ops\":1|cluster.state.txn_ops",
+        "\"zones\":[\"za\",\"zb\"]|\"zones\":[3]|cluster.zones",
+        "\"cpus_max\":2|\"cpus_max\":-2|cluster.teams[0].cpus_max",
+        "\"state\":\"10.2.0.1:2379\"|\"state\":null|outside.state"})
+    void theFirstProblemNamesItsField(String from, String to, String field) {
+        SettingsReader.Result read = SettingsReader.read(GOOD.replace(from, to));
+        assertNull(read.settings());
+        assertTrue(read.problems().get(0).startsWith(field + ":"), read.problems().toString());
+    }
+
+    @Test
+    void everyProblemIsFound() {
+        assertTrue(SettingsReader.read("{}").problems().size() > 10);
+        assertEquals(1, SettingsReader.read("not json").problems().size());
+        assertEquals(1, SettingsReader.read("[]").problems().size());
+    }
+}
