--- /dev/null
+++ b/src/test/java/stileferry/cli/OverloadTest.java
@@ -0,0 +1,86 @@
+package stileferry.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import stileferry.Controller;
+import stileferry.transport.StandInHost;
+
+/** Far more users than the limit on requests in progress lets in, on loopback, bounded in number and time. */
+class OverloadTest {
+    private static final int REQUESTS = 3000;
+    private static final long BOUND_MS = 1500;
+
+    @TempDir
+    private Path dir;
+
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private record Seen(int status, long tookMs, boolean retryAfter) {}
+
+    private int status(URI uri) throws Exception {
+        return client.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    /** Keeps so many requests in progress until all have been answered. */
+    private List<Seen> load(URI uri, int inProgress) throws InterruptedException {
+        List<Seen> seen = Collections.synchronizedList(new ArrayList<>());
+        List<CompletableFuture<?>> all = new ArrayList<>();
+        Semaphore slots = new Semaphore(inProgress);
+        for (int i = 0; i < REQUESTS; i++) {
+            slots.acquire();
+            long since = System.nanoTime();
+            all.add(client.sendAsync(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.discarding())
+                    .whenComplete((r, e) -> {
+                        slots.release();
+                        seen.add(new Seen(r == null ? 0 : r.statusCode(), (System.nanoTime() - since) / 1_000_000,
+                                r != null && r.headers().firstValue("Retry-After").isPresent()));
+                    }));
+        }
+        CompletableFuture.allOf(all.toArray(new CompletableFuture<?>[0])).exceptionally(e -> null).join();
+        return seen;
+    }
+
+    private static long percentile(List<Seen> seen, int percent) {
+        List<Long> times = seen.stream().filter(s -> s.status == 404).map(Seen::tookMs).sorted().toList();
+        return times.get(times.size() * percent / 100);
+    }
+
+    @Test
+    void whatIsTakenKeepsItsTimesAndTheRestIsRefusedAtOnce() throws Exception {
+        int port = ServiceTest.freePorts();
+        try (StandInHost standIns = StandIns.start(port, dir);
+                Controller controller = Controller.builder()
+                        .settings(SettingsFile.read(dir.resolve("node-0.json")).settings()).build()) {
+            assertEquals("127.0.0.1:" + port, standIns.addr());
+            controller.start();
+            String base = "http://127.0.0.1:" + (port + 1);
+            URI unknown = URI.create(base + "/work/job-404"); // asks the state service, whose rate is limited
+            for (int i = 0; i < 200 && status(unknown) != 404; i++) {
+                Thread.sleep(50);
+            }
+            List<Seen> some = load(unknown, 300);
+            List<Seen> twice = load(unknown, 600);
+            for (List<Seen> seen : List.of(some, twice)) {
+                assertEquals(REQUESTS, seen.size());
+                assertTrue(seen.stream().allMatch(s -> s.status == 404 || s.status == 503 && s.retryAfter),
+                        "every request is answered, or refused with a time to come back");
+                assertTrue(seen.stream().anyMatch(s -> s.status == 503), "the load is beyond the limit");
+                assertTrue(percentile(seen, 90) < BOUND_MS, "what is taken waits " + percentile(seen, 90) + " ms");
+            }
+            assertEquals(200, status(URI.create(base + "/ready")), "health checks are not starved");
+        }
+    }
+}
