--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -2,11 +2,14 @@
 
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.Options;
 import stileferry.protocol.Settings;
@@ -19,6 +22,14 @@
     final Settings settings;
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Machine> machines = new TreeMap<>();
+    final Rooms rooms = new Rooms();
+
+    /** Accepted jobs whose records can't be read. */
+    final Set<String> unreadable = new HashSet<>();
+
+    /** Claims whose tasks were told to stop. */
+    final Set<Claim> stopping = new LinkedHashSet<>();
+
     List<MachineType> types = List.of();
 
     /** The operators' settings in force. */
@@ -33,6 +44,7 @@
     });
 
     private final Map<String, double[]> use = new HashMap<>();
+    private final int[] claimsOf = new int[JobSpec.Priority.values().length];
 
     Board(Settings settings) {
         this.settings = settings;
@@ -60,6 +72,8 @@
         claim.job.taken.set(claim.index);
         Machine machine = machine(claim.machine);
         machine.claims.put(claim.name, claim);
+        machine.count(claim, 1);
+        rooms.update(machine);
         claim.job.tasksInZone.merge(machine.zone, 1, Integer::sum);
         count(claim, 1);
     }
@@ -67,17 +81,33 @@
     /** Ends a claim after proof that its task is not on its machine. */
     void remove(Claim claim, boolean done) {
         claim.job.claims.remove(claim.index, claim);
+        stopping.remove(claim);
         if (done) {
-            claim.job.done.set(claim.index);
+            claim.job.finish(claim.index);
         } else {
             claim.job.taken.clear(claim.index);
         }
         Machine machine = machine(claim.machine);
         machine.claims.remove(claim.name, claim);
+        machine.count(claim, -1);
+        rooms.update(machine);
         claim.job.tasksInZone.merge(machine.zone, -1, (a, b) -> a + b == 0 ? null : a + b);
         count(claim, -1);
     }
 
+    /** Wants a claimed task to stop; a shorter time to save replaces a longer one. */
+    void stop(Claim claim, double graceS, long now) {
+        claim.stop(graceS, now);
+        stopping.add(claim);
+    }
+
+    /** Forgets a machine that is gone. */
+    void forget(Machine machine) {
+        rooms.remove(machine);
+        machines.remove(machine.name);
+        deleted.add(machine.name);
+    }
+
     /** Takes in a machine's zone when it becomes known after claims on it were read. */
     void setZone(Machine machine, String zone) {
         if (!machine.zone.equals(zone)) {
@@ -90,6 +120,7 @@
     }
 
     private void count(Claim claim, int sign) {
+        claimsOf[claim.job.spec.priority().ordinal()] += sign;
         double[] sums = use.get(claim.job.spec.team());
         if (sums == null) {
             return; // a team that the settings no longer name has no limit to keep
@@ -99,6 +130,16 @@
         sums[1] = sums[2] == 0 ? 0 : sums[1] + sign * claim.job.spec.gpus();
     }
 
+    /** Whether any task of a lower priority may be on a machine. */
+    boolean anyBelow(JobSpec.Priority priority) {
+        for (int i = priority.ordinal() + 1; i < claimsOf.length; i++) {
+            if (claimsOf[i] > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     double cpusOf(String team) {
         double[] sums = use.get(team);
         return sums == null ? 0 : sums[0];
--- a/src/main/java/stileferry/coordination/Claim.java
+++ b/src/main/java/stileferry/coordination/Claim.java
@@ -22,6 +22,9 @@
 
     boolean durable;
 
+    /** The number of the stored record that holds this claim. */
+    long record;
+
     /** Commands to start that were sent in any way, so that the machine may know the attempt. */
     int runsSent;
 
--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -1,7 +1,6 @@
 package stileferry.coordination;
 
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -97,7 +96,7 @@
     private boolean elsewhere(Claim claim, Machine from, long now) {
         for (Machine m : board.machines.values()) {
             if (m != from && m.hasImage(claim.job.spec.image()) && placement.allowed(claim.job, m, now)
-                    && m.hasRoom(claim.job, Set.of())) {
+                    && m.hasRoom(claim.job)) {
                 return true;
             }
         }
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -173,7 +173,7 @@
                 leader.admin(parts[0], parts.length > 1 ? parts[1] : "", from, body, reply);
             }
             case REPORT -> {
-                Report report = Report.read(Wire.decode(body));
+                Report report = Report.read(body);
                 if (report == null) {
                     reply.accept(Leader.refusal(400, "not a report"));
                 } else {
@@ -188,8 +188,7 @@
 
     /** Takes a worker's report. */
     public void report(byte[] body, BiConsumer<Integer, ObjectNode> reply) {
-        JsonNode node = Wire.decode(body);
-        Report report = Report.read(node);
+        Report report = Report.read(body);
         if (report == null) {
             reply.accept(400, Messages.error("not a report"));
         } else if (leader != null) {
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -1,8 +1,10 @@
 package stileferry.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +27,7 @@
     private static final double DRIFT = 0.001;
 
     private static final long LAPSE_SLACK_MS = 500;
+    private static final long GREET_MS = 100;
 
     private final Board board;
     private final Outside outside;
@@ -34,6 +37,8 @@
     private final long reportMs;
     private final long leaseMs;
     private final long cancelMs;
+    private final int maxInFlight;
+    private final ArrayDeque<Machine> greetings = new ArrayDeque<>();
     private final Set<Machine> nudged = new LinkedHashSet<>();
     private final Set<Machine> inFlight = new LinkedHashSet<>();
     private boolean closed;
@@ -58,6 +63,7 @@
         this.events = events;
         this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
         this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
+        this.maxInFlight = Math.max(1, board.settings.maxSockets() / 16);
         this.cancelMs = Math.round(board.settings.workers().cancelS() * 1000);
     }
 
@@ -74,12 +80,60 @@
         if (m.deleting || r.session() <= m.lapsedSession) {
             return null; // its lease may not be renewed: what was on it is counted as gone, or about to be
         }
+        if (r.session() < m.session || r.session() == m.reportSession && r.seq() <= m.reportSeq) {
+            return null; // a late copy: a worker has one report in flight, so nobody waits for this answer
+        }
+        doubt(m, r);
+        m.reportSession = r.session();
+        m.reportSeq = r.seq();
         boolean fresh = take(m, r, true);
         m.answeredAt = outside.now();
         List<Signal> signals = fresh && leadership.sure() ? signals(m, true) : List.of();
+        m.answeredRuns = keys(signals);
         return Messages.signals(term, signals);
     }
 
+    /**
+     * Our answers may not reach a worker whose reports reach us. It shows when a session ends although we answered
+     * within its lease, or when starts in an answer were neither carried out nor refused. Such a machine gets no work
+     * until it has answered something that we sent.
+     */
+    private void doubt(Machine m, Report r) {
+        if (!m.accepted(term) || m.unreachedSince != 0) {
+            return;
+        }
+        boolean lapsedUnderAnswers = r.session() > m.session && m.session > 0 && m.answeredAt != 0
+                && outside.now() - m.answeredAt < leaseMs;
+        boolean unheeded = r.session() == m.session && r.seq() > m.seq && !m.answeredRuns.isEmpty() && unheeded(m, r);
+        if (lapsedUnderAnswers || unheeded) {
+            LOG.info("machine {} reports but seems not to hear: {}", m.name,
+                    lapsedUnderAnswers ? "its lease lapsed while it was answered" : "it left starts alone");
+            m.unreachedSince = outside.now();
+        }
+    }
+
+    private static boolean unheeded(Machine m, Report r) {
+        Set<String> told = new HashSet<>();
+        r.tasks().forEach(t -> told.add(t.key()));
+        for (Claim c : m.claims.values()) {
+            if (c.stage == null && m.answeredRuns.contains(c.key) && !told.contains(c.key)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static Set<String> keys(List<Signal> signals) {
+        Set<String> keys = Set.of();
+        for (Signal s : signals) {
+            if (s.kind() == Signal.Kind.RUN) {
+                keys = keys.isEmpty() ? new HashSet<>() : keys;
+                keys.add(s.key());
+            }
+        }
+        return keys;
+    }
+
     /** Answers a report before the claims have been read: the lease is renewed, nothing is asked for. */
     ObjectNode hold(Report r) {
         Machine m = board.machine(r.machine());
@@ -106,6 +160,12 @@
             m.openRuns.clear();
             m.settling.clear();
         }
+        if (!m.heard && r.token() < term) {
+            m.unreachedSince = now; // until it shows our term: this may be a late copy of what a dead machine said
+        } else if (m.token < term && r.token() >= term) {
+            m.unreachedSince = 0;
+            events.changed();
+        }
         m.heard = true;
         m.booting = false;
         m.heardAt = now;
@@ -117,6 +177,7 @@
         m.type = board.type(r.type());
         m.spot = r.spot();
         board.setZone(m, r.zone());
+        board.rooms.update(m);
         if (r.noticeS() >= 0 && m.noticeS < 0) {
             LOG.info("machine {} will be taken in {} s", m.name, r.noticeS());
             m.noticeS = r.noticeS();
@@ -169,9 +230,9 @@
     private void leave(Machine m, long now) {
         for (Claim c : m.claims.values()) {
             if (c.job.spec.service()) {
-                c.stop(0, now);
+                board.stop(c, 0, now);
             } else if (c.job.spec.checkpointS() > 0) {
-                c.stop(c.job.spec.saveS(), now);
+                board.stop(c, c.job.spec.saveS(), now);
             }
         }
         nudge(m);
@@ -223,6 +284,39 @@
         nudged.add(m);
     }
 
+    /** Greets every machine that was not heard yet, a few at a time: most will have reported when it is their turn. */
+    void greetAll() {
+        board.machines.values().forEach(m -> {
+            if (!m.heard) {
+                greetings.add(m);
+            }
+        });
+        greetSome();
+    }
+
+    private void greetSome() {
+        int some = 1 + (int) (board.machines.size() * GREET_MS / (2 * reportMs));
+        while (!closed && some > 0 && !greetings.isEmpty()) {
+            Machine m = greetings.poll();
+            if (!m.heard && !m.deleting) {
+                some--;
+                greet(m);
+            }
+        }
+        if (!closed && !greetings.isEmpty()) {
+            outside.after(GREET_MS, this::greetSome);
+        }
+    }
+
+    /** Asks machines in doubt whether they hear us. */
+    void probe() {
+        for (Machine m : board.machines.values()) {
+            if (m.unreachedSince != 0 && outside.now() - m.unreachedSince > reportMs / 2 && !m.deleting && !inFlight.contains(m) && !m.addr.isEmpty()) {
+                command(m, m.session, List.of(), 1);
+            }
+        }
+    }
+
     /** Sends what was wanted since the last turn; machines not heard lately get it in answer to their reports. */
     void send() {
         if (nudged.isEmpty() || closed || !leadership.sure()) {
@@ -232,6 +326,9 @@
             if (inFlight.contains(m)) {
                 continue; // again when the answer is there
             }
+            if (inFlight.size() >= maxInFlight) {
+                return; // sockets are few; the rest goes out as answers come
+            }
             nudged.remove(m);
             if (!m.heard || m.deleting || m.addr.isEmpty() || outside.now() - m.heardAt > 2 * reportMs) {
                 continue;
@@ -277,6 +374,7 @@
                         leadership.learn(r.token(), "");
                         return;
                     }
+                    m.unreachedSince = 0; // it has heard this
                     take(m, r, false);
                     if (status == 409 && tries > 1 && r.session() != session) {
                         command(m, r.session(), List.of(), tries - 1);
@@ -320,8 +418,7 @@
         for (Claim c : List.copyOf(m.claims.values())) {
             events.gone(c, "machine deleted");
         }
-        board.machines.remove(m.name);
-        board.deleted.add(m.name);
+        board.forget(m);
         events.changed();
     }
 
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -1,7 +1,6 @@
 package stileferry.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -18,13 +17,11 @@
 
 /** An accepted job that is not over, and what is known of its tasks. */
 final class Job {
-    /** Bytes that one claim takes in a chunk's record, with room to spare. */
-    private static final int CLAIM_BYTES = 64;
+    static final String PREFIX = "j/";
 
     final JobSpec spec;
     final long order;
     final long acceptedAt;
-    final int chunkTasks;
     final BitSet done = new BitSet();
 
     /** Tasks that are done or claimed. */
@@ -41,14 +38,22 @@
     List<Consumer<PeerRecord.Answer>> waiting = new ArrayList<>();
 
     final Ledger.Entry record;
-    final Map<Integer, Ledger.Entry> chunks = new HashMap<>();
+
+    /** Tasks in one part of the older form of record; 1 for jobs without such parts. */
+    int chunkTasks = 1;
 
     boolean accepted;
     boolean cancelled;
     boolean cancelDurable;
     boolean ending;
+
+    /** Its end is durable. */
+    boolean over;
+
     boolean withinGuarantee;
     int successes;
+    private int doneCount;
+    private int[] doneRecords;
 
     /** Pauses between the starts of a failing task. */
     static final class Retry {
@@ -56,30 +61,24 @@
         long notBefore;
     }
 
-    Job(JobSpec spec, long order, long acceptedAt, int chunkTasks, long revision) {
+    Job(JobSpec spec, long order, long acceptedAt, long revision) {
         this.spec = spec;
         this.order = order;
         this.acceptedAt = acceptedAt;
-        this.chunkTasks = chunkTasks;
         this.record = new Ledger.Entry(key(spec.id()), revision, this::write);
     }
 
     static String key(String id) {
-        return "j/" + id;
+        return PREFIX + id;
     }
 
     static String endedKey(String id) {
         return "e/" + id;
     }
 
-    /** Tasks that share one record, so that a record full of claims stays within the service's value limit. */
-    static int chunkTasks(double valueKb) {
-        return Math.max(1, Integer.highestOneBit((int) (valueKb * 1024 / CLAIM_BYTES)));
-    }
-
     static Job read(JsonNode v, long revision) throws JobSpec.Malformed {
-        Job job = new Job(JobSpec.read(v.path("spec")), v.path("order").asLong(), v.path("at").asLong(),
-                Math.max(1, v.path("chunk").asInt(1)), revision);
+        Job job = new Job(JobSpec.read(v.path("spec")), v.path("order").asLong(), v.path("at").asLong(), revision);
+        job.chunkTasks = Math.max(1, v.path("chunk").asInt(1));
         job.accepted = true;
         job.cancelled = v.path("cancelled").asBoolean();
         job.cancelDurable = job.cancelled;
@@ -87,61 +86,37 @@
     }
 
     private ObjectNode write() {
-        ObjectNode v = Wire.map().put("order", order).put("at", acceptedAt).put("chunk", chunkTasks)
-                .put("cancelled", cancelled);
+        ObjectNode v = Wire.map().put("order", order).put("at", acceptedAt).put("cancelled", cancelled);
+        if (chunkTasks > 1) {
+            v.put("chunk", chunkTasks);
+        }
         v.set("spec", spec.write());
         return v;
     }
 
-    Ledger.Entry chunkOf(int index) {
-        return chunk(index / chunkTasks, 0);
+    /** Takes in that a task is done. */
+    void finish(int index) {
+        taken.set(index);
+        if (!done.get(index)) {
+            done.set(index);
+            doneCount++;
+        }
     }
 
-    Ledger.Entry chunk(int number, long revision) {
-        return chunks.computeIfAbsent(number, n ->
-                new Ledger.Entry("c/" + spec.id() + "/" + n, revision, () -> writeChunk(n)));
+    int doneCount() {
+        return doneCount;
     }
 
-    ObjectNode writeChunk(int number) {
-        int from = number * chunkTasks;
-        int to = Math.min(spec.tasks(), from + chunkTasks);
-        StringBuilder hex = new StringBuilder();
-        for (byte b : done.get(from, to).toByteArray()) {
-            hex.append(Character.forDigit(b >> 4 & 15, 16)).append(Character.forDigit(b & 15, 16));
-        }
-        ObjectNode v = Wire.map().put("done", hex.toString());
-        ArrayNode list = v.putArray("claims");
-        for (int i = from; i < to; i++) {
-            Claim claim = claims.get(i);
-            if (claim != null) {
-                list.addArray().add(i).add(claim.attempt).add(claim.machine).add(claim.session);
-            }
-        }
-        return v;
+    /** The number of the record that says that a task is done. */
+    int doneRecord(int index) {
+        return doneRecords == null ? 0 : doneRecords[index];
     }
 
-    /** Takes a chunk's record in; returns the claims it holds. */
-    List<Claim> readChunk(int number, JsonNode v, long revision) {
-        chunk(number, revision);
-        String hex = v.path("done").asText();
-        byte[] bits = new byte[hex.length() / 2];
-        for (int i = 0; i < bits.length; i++) {
-            bits[i] = (byte) Integer.parseInt(hex.substring(2 * i, 2 * i + 2), 16);
-        }
-        int from = number * chunkTasks;
-        BitSet.valueOf(bits).stream().forEach(i -> {
-            done.set(from + i);
-            taken.set(from + i);
-        });
-        List<Claim> read = new ArrayList<>();
-        for (JsonNode c : v.path("claims")) {
-            Claim claim = new Claim(this, c.path(0).asInt(), c.path(1).asLong(), c.path(2).asText(),
-                    c.path(3).asLong(), 0);
-            claim.durable = true;
-            claim.runsSent = 1;
-            read.add(claim);
+    void doneRecord(int from, int to, int number) {
+        if (doneRecords == null) {
+            doneRecords = new int[spec.tasks()];
         }
-        return read;
+        java.util.Arrays.fill(doneRecords, from, to + 1, number);
     }
 
     /** The next task that waits and may start now; -1 when there is none. */
@@ -176,7 +151,7 @@
     }
 
     int unfinished() {
-        return spec.tasks() - done.cardinality();
+        return spec.tasks() - doneCount;
     }
 
     int runningCount() {
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -27,11 +28,17 @@
 
     private static final long COALESCE_MS = 20;
 
+    /** Passes rest for so many times as long as they take, so that reports and renewals get their turns. */
+    private static final long PASS_REST = 5;
+
     /** Attempts of one term are numbered below this, so that attempts of a later term are always higher. */
     private static final long ATTEMPTS_PER_TERM = 1L << 32;
 
     private static final double SLOWDOWN_THRESHOLD_S = 60;
 
+    /** Records of an older form, read and then replaced. */
+    private static final String OLD_PARTS = "c/";
+
     private final Settings settings;
     private final Outside outside;
     private final StateClient state;
@@ -53,6 +60,7 @@
     private long activeAt;
     private boolean closed;
     private boolean passAsked;
+    private long passTookMs;
 
     Leader(Settings settings, Outside outside, StateClient state, Leadership leadership, EndedJobs ended,
             List<MachineType> types, long term, long leaderRevision) {
@@ -93,6 +101,7 @@
         board.types = types;
         for (Machine m : board.machines.values()) {
             m.type = board.type(m.typeName);
+            board.rooms.update(m);
         }
         changed();
     }
@@ -100,28 +109,29 @@
     // ---- taking over
 
     private void load() {
-        state.scan("j/", true, jobs -> {
+        read(List.of(Job.PREFIX, Ledger.EVENTS, OLD_PARTS), new ArrayList<>());
+    }
+
+    /** Reads one prefix after the other; starts again when a read fails. */
+    private void read(List<String> prefixes, List<List<StateClient.Row>> done) {
+        if (prefixes.isEmpty()) {
+            loadOptions(done);
+            return;
+        }
+        state.scan(prefixes.get(0), true, read -> {
             if (closed) {
                 return;
             }
-            if (jobs.rows() == null) {
+            if (read.rows() == null) {
                 outside.after(300, this::load);
-                return;
+            } else {
+                done.add(read.rows());
+                read(prefixes.subList(1, prefixes.size()), done);
             }
-            state.scan("c/", true, chunks -> {
-                if (closed) {
-                    return;
-                }
-                if (chunks.rows() == null) {
-                    outside.after(300, this::load);
-                } else {
-                    loadOptions(jobs.rows(), chunks.rows());
-                }
-            });
         });
     }
 
-    private void loadOptions(List<StateClient.Row> jobs, List<StateClient.Row> chunks) {
+    private void loadOptions(List<List<StateClient.Row>> rows) {
         state.get(Admin.KEY, (status, body) -> {
             if (closed) {
                 return;
@@ -134,7 +144,7 @@
             }
             long revision = status == 200 ? body.path("entry_rev").asLong() : 0;
             admin = new Admin(board, placement, ledger, revision, this::describe, this::takeOptions);
-            build(jobs, chunks);
+            build(rows.get(0), rows.get(1), rows.get(2));
         });
     }
 
@@ -143,32 +153,39 @@
         outside.logLevel(options.text(Options.LOG_LEVEL));
     }
 
-    private void build(List<StateClient.Row> jobs, List<StateClient.Row> chunks) {
-        for (StateClient.Row row : jobs) {
+    private void build(List<StateClient.Row> rows, List<StateClient.Row> records, List<StateClient.Row> parts) {
+        List<Job> jobs = new ArrayList<>();
+        for (StateClient.Row row : rows) {
             try {
-                Job job = Job.read(row.value(), row.revision());
-                board.jobs.put(job.spec.id(), job);
+                jobs.add(Job.read(row.value(), row.revision()));
             } catch (JobSpec.Malformed e) {
-                LOG.error("the record {} can't be read: {}", row.key(), e.getMessage());
-            }
-        }
-        int claims = 0;
-        for (StateClient.Row row : chunks) {
-            String[] parts = row.key().split("/");
-            Job job = parts.length == 3 ? board.jobs.get(parts[1]) : null;
-            if (job == null) {
-                // left by a job that ended: its records go one by one after the one that says so
-                ledger.delete(new Ledger.Entry(row.key(), row.revision(), Wire::map), null);
-                continue;
-            }
-            for (Claim claim : job.readChunk(Integer.parseInt(parts[2]), row.value(), row.revision())) {
-                board.add(claim);
-                claims++;
+                // its user was told that it is accepted, so nobody may hear that it is unknown
+                LOG.error("the record {} can't be read, its job can't run: {}", row.key(), e.getMessage());
+                board.unreadable.add(row.key().substring(Job.PREFIX.length()));
             }
         }
+        jobs.sort(Comparator.comparingLong(j -> j.order));
+        jobs.forEach(job -> board.jobs.put(job.spec.id(), job));
+        TaskEvents.Reader reader = new TaskEvents.Reader(board.jobs);
+        long number = 0;
+        for (StateClient.Row row : parts) {
+            String[] key = row.key().split("/");
+            Job job = key.length == 3 ? board.jobs.get(key[1]) : null;
+            // what is left of a job that ended is deleted like the others, with nothing kept of it
+            List<Ledger.Event> events = job == null ? List.of()
+                    : reader.readChunk(job, Integer.parseInt(key[2]), row.value(), --number);
+            ledger.restore(row.key(), row.revision(), number, events);
+        }
+        records.sort(Comparator.comparingLong(row -> row.value().path("n").asLong()));
+        for (StateClient.Row row : records) {
+            long n = row.value().path("n").asLong();
+            ledger.restore(row.key(), row.revision(), n, reader.read(row.value(), n));
+        }
+        List<Claim> claims = reader.claims();
+        claims.forEach(board::add);
         active = true;
         activeAt = outside.now();
-        LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, board.jobs.size(), claims);
+        LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, board.jobs.size(), claims.size());
         for (Job job : List.copyOf(board.jobs.values())) {
             if (job.cancelled) {
                 stopAll(job);
@@ -187,6 +204,7 @@
         }
         outside.after(Math.round(1000 * board.options.number(Options.PASS_INTERVAL_S)), this::tick);
         fleet.checkLeases();
+        fleet.probe();
         if (leadership.sure()) {
             provisioning.list();
             provisioning.returnMachines(settled());
@@ -206,7 +224,7 @@
     public void changed() {
         if (!passAsked && active) {
             passAsked = true;
-            outside.after(COALESCE_MS, () -> {
+            outside.after(Math.max(COALESCE_MS, PASS_REST * passTookMs), () -> {
                 passAsked = false;
                 if (!closed && leadership.sure()) {
                     pass(false);
@@ -217,6 +235,15 @@
     }
 
     private void pass(boolean regular) {
+        long from = outside.now();
+        passOnce(regular);
+        passTookMs = outside.now() - from;
+        if (placement.cutShort()) {
+            changed();
+        }
+    }
+
+    private void passOnce(boolean regular) {
         if (board.types.isEmpty() || ledger.backlog() > 4 * settings.state().txnOps()) {
             return;
         }
@@ -257,7 +284,7 @@
     private void start(Job job, int index, long attempt, Machine machine, long now) {
         Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
         board.add(claim);
-        ledger.put(job.chunkOf(index), () -> {
+        ledger.log(TaskEvents.claimed(claim), () -> {
             claim.durable = true;
             if (job.claims.get(index) == claim && !claim.stopping() && !job.cancelled) {
                 fleet.nudge(machine);
@@ -271,7 +298,7 @@
             gone(claim, "never sent");
             return;
         }
-        claim.stop(graceS, outside.now());
+        board.stop(claim, graceS, outside.now());
         fleet.nudge(board.machine(claim.machine));
     }
 
@@ -376,7 +403,7 @@
         } else if (job.cancelled && job.claims.isEmpty()) {
             end(job, "cancelled", onDurable);
         } else {
-            ledger.put(job.chunkOf(claim.index), onDurable);
+            ledger.log(done ? TaskEvents.done(job, claim.index) : TaskEvents.freed(claim), onDurable);
         }
         changed();
     }
@@ -405,9 +432,10 @@
             return;
         }
         job.ending = true;
-        EndedJobs.Ended record = new EndedJobs.Ended(how, job.done.cardinality());
+        EndedJobs.Ended record = new EndedJobs.Ended(how, job.doneCount());
         Ledger.Entry entry = new Ledger.Entry(Job.endedKey(job.spec.id()), 0, record::write);
         ledger.move(entry, job.record, () -> {
+            job.over = true;
             board.jobs.remove(job.spec.id());
             ended.put(job.spec.id(), record);
             answer(job, ok(200, record.answer(job.spec.id())));
@@ -415,11 +443,6 @@
                 onDurable.run();
             }
         });
-        for (Ledger.Entry chunk : job.chunks.values()) {
-            if (chunk.stored()) {
-                ledger.delete(chunk, null);
-            }
-        }
     }
 
     // ---- workers and peers
@@ -467,10 +490,15 @@
         }
         int running = job.cancelled ? 0 : job.runningCount();
         String tide = job.cancelled ? "cancelled" : running > 0 ? "running" : "pending";
-        int done = job.ending ? Math.max(0, job.done.cardinality() - 1) : job.done.cardinality();
+        int done = job.ending ? Math.max(0, job.doneCount() - 1) : job.doneCount();
         return ok(status, Messages.jobState(job.spec.id(), tide, done, running));
     }
 
+    /** A job that was accepted and whose record nobody can read: known, and not over. */
+    private static PeerRecord.Answer unreadable(String id) {
+        return ok(200, Messages.jobState(id, "pending", 0, 0));
+    }
+
     /** Looks an id up among the ended jobs; the status is 0 when that can't be told now. */
     private void lookUp(String id, Consumer<EndedJobs.Ended> known, Runnable unknown, Runnable failed) {
         EndedJobs.Ended cached = ended.get(id);
@@ -507,6 +535,10 @@
             join(job, reply);
             return;
         }
+        if (board.unreadable.contains(id)) {
+            reply.accept(unreadable(id));
+            return;
+        }
         lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
             Job meanwhile = board.jobs.get(id);
             if (meanwhile != null) {
@@ -554,8 +586,7 @@
             reply.accept(refusal(422, "more than the team's limit"));
             return;
         }
-        Job job = new Job(spec, term * ATTEMPTS_PER_TERM + ++numbers, outside.timeOfDay(),
-                Job.chunkTasks(settings.state().valueKb()), 0);
+        Job job = new Job(spec, term * ATTEMPTS_PER_TERM + ++numbers, outside.timeOfDay(), 0);
         job.waiting.add(reply);
         board.jobs.put(spec.id(), job);
         ledger.put(job.record, () -> {
@@ -589,6 +620,10 @@
             reply.accept(state(job, 200));
             return;
         }
+        if (board.unreadable.contains(id)) {
+            reply.accept(unreadable(id));
+            return;
+        }
         lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
             Job meanwhile = board.jobs.get(id);
             reply.accept(meanwhile != null ? state(meanwhile, 200) : refusal(404, "no such job"));
@@ -601,7 +636,9 @@
             return;
         }
         Job job = board.jobs.get(id);
-        if (job == null) {
+        if (job == null && board.unreadable.contains(id)) {
+            reply.accept(unavailable());
+        } else if (job == null) {
             lookUp(id, e -> reply.accept(ok(200, e.answer(id))),
                     () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : refusal(404, "no such job")),
                     () -> reply.accept(unavailable()));
@@ -622,7 +659,7 @@
         for (Claim claim : Set.copyOf(new HashSet<>(job.claims.values()))) {
             if (claim.runsSent == 0) {
                 board.remove(claim, false); // no machine has heard of it
-                ledger.put(job.chunkOf(claim.index), null);
+                ledger.log(TaskEvents.freed(claim), null);
             }
         }
         if (job.claims.isEmpty()) {
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -10,7 +10,7 @@
 import stileferry.protocol.Report;
 
 /** A machine and everything that may be on it. */
-final class Machine {
+final class Machine implements Comparable<Machine> {
     final String name;
     String addr = "";
     String typeName = "";
@@ -26,6 +26,17 @@
     long token;
     long heardAt;
 
+    /** The newest report, without the answers to commands: what is not newer than that is a copy. */
+    long reportSession;
+
+    long reportSeq;
+
+    /** The starts in the last answer to a report. */
+    Set<String> answeredRuns = Set.of();
+
+    /** Since when nothing proves that this machine hears us; 0: it does, as far as we know. */
+    long unreachedSince;
+
     /** When a report of this machine was last answered in this term; 0: never. */
     long answeredAt;
 
@@ -66,6 +77,12 @@
     /** Jobs that failed here since a task last succeeded here. */
     final Map<String, Integer> failures = new HashMap<>();
 
+    /** Where the index of rooms holds this machine; kept by the index. */
+    int roomSlot = -1;
+
+    private double cpusUsed;
+    private double gpusUsed;
+    private double memoryUsed;
     private double slowdownSum;
     private int slowdownCount;
 
@@ -79,30 +96,33 @@
     }
 
     boolean usable() {
-        return heard && type != null && !draining && !faulty && !deleting && noticeS < 0 && !strays;
+        return heard && type != null && !draining && !faulty && !deleting && noticeS < 0 && !strays
+                && unreachedSince == 0;
+    }
+
+    @Override
+    public int compareTo(Machine other) {
+        return name.compareTo(other.name);
     }
 
+    /** CPUs of all tasks that may be here. */
     double usedCpus() {
-        double sum = 0;
-        for (Claim c : claims.values()) {
-            sum += c.job.spec.cpus();
-        }
-        return sum;
+        return cpusUsed;
     }
 
-    /** Whether a task of this job fits beside all that may be here, leaving out those that the filter names. */
-    boolean hasRoom(Job job, Set<Claim> without) {
-        double cpus = job.spec.cpus();
-        double gpus = job.spec.gpus();
-        double memory = job.spec.memoryGb();
-        for (Claim c : claims.values()) {
-            if (!without.contains(c)) {
-                cpus += c.job.spec.cpus();
-                gpus += c.job.spec.gpus();
-                memory += c.job.spec.memoryGb();
-            }
-        }
-        return cpus <= type.cpus() + 1e-6 && gpus <= type.gpus() + 1e-6 && memory <= type.memoryGb() + 1e-6;
+    /** Counts a task that may be here, or no longer is. */
+    void count(Claim claim, int sign) {
+        boolean empty = claims.isEmpty();
+        cpusUsed = empty ? 0 : cpusUsed + sign * claim.job.spec.cpus();
+        gpusUsed = empty ? 0 : gpusUsed + sign * claim.job.spec.gpus();
+        memoryUsed = empty ? 0 : memoryUsed + sign * claim.job.spec.memoryGb();
+    }
+
+    /** Whether a task of this job fits beside all that may be here. */
+    boolean hasRoom(Job job) {
+        return cpusUsed + job.spec.cpus() <= type.cpus() + 1e-6
+                && gpusUsed + job.spec.gpus() <= type.gpus() + 1e-6
+                && memoryUsed + job.spec.memoryGb() <= type.memoryGb() + 1e-6;
     }
 
     void finished(double runS, double waitS, double thresholdS) {
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
@@ -24,7 +22,38 @@
      */
     private static final double SLOWDOWN_STEP = 0.25;
 
+    /** Starts of one turn; more go on in the next, so that reports and renewals are not late. */
+    private static final int STARTS_A_TURN = 400;
+
     private final Board board;
+    private boolean cutShort;
+
+    /** What found no room in a pass. Room only gets less in a pass, so whoever asks for as much finds none either. */
+    static final class Misfits {
+        private final List<JobSpec> specs = new ArrayList<>();
+
+        /** Takes in a job without room; false when that says nothing about others. */
+        boolean add(Job job) {
+            JobSpec spec = job.spec;
+            if (spec.gang() || spec.oneZone() || spec.spread() || !job.failedOn.isEmpty()) {
+                return false; // it may have been kept away by what concerns no other job
+            }
+            specs.add(spec);
+            return true;
+        }
+
+        boolean cover(Job job) {
+            JobSpec s = job.spec;
+            for (JobSpec m : specs) {
+                if (m.cpus() <= s.cpus() && m.gpus() <= s.gpus() && m.memoryGb() <= s.memoryGb()
+                        && (m.spot() || !s.spot()) && (m.zone() == null || m.zone().equals(s.zone()))
+                        && (m.types() == null || s.types() != null && m.types().containsAll(s.types()))) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
 
     Placement(Board board) {
         this.board = board;
@@ -33,9 +62,7 @@
     /** Marks the jobs that fit into their team's guarantee together with the team's earlier jobs. */
     void markGuaranteed() {
         Map<String, double[]> sums = new HashMap<>();
-        List<Job> byOrder = new ArrayList<>(board.jobs.values());
-        byOrder.sort(Comparator.comparingLong(j -> j.order));
-        for (Job job : byOrder) {
+        for (Job job : board.jobs.values()) { // kept in order of submission
             Settings.Team team = board.settings.team(job.spec.team());
             if (team == null || job.cancelled || !job.accepted) {
                 job.withinGuarantee = false;
@@ -64,40 +91,68 @@
 
     /**
      * One pass. The head goes first if it fits, else the fitting job with the lowest rank times position, until
-     * nothing fits. Returns the jobs that still wait for room, in queue order.
+     * nothing fits. Returns the jobs that still wait for room, in queue order. A pass that starts too much for one
+     * turn stops early, and {@link #cutShort} tells so.
      */
     List<Job> pass(long now, long timeOfDay, BiConsumer<Job, List<Machine>> start) {
         markGuaranteed();
         double protectAfterMs = 1000 * board.options.number(Options.HEAD_PROTECTION_S);
         List<Job> queue = queue(now);
-        List<Job> waiting = new ArrayList<>(queue);
-        Set<Job> stuck = new HashSet<>();
-        while (stuck.size() < queue.size()) {
-            Job head = queue.get(0);
-            Job pick = stuck.contains(head) ? null : head;
-            Job protectedHead = pick == null && timeOfDay - head.acceptedAt > protectAfterMs ? head : null;
-            double lowest = Double.MAX_VALUE;
-            for (int i = 1; pick != head && i < queue.size(); i++) {
-                Job job = queue.get(i);
-                double rank = rank(job) * (i + 1);
-                if (rank < lowest && !stuck.contains(job)) {
-                    lowest = rank;
-                    pick = job;
+        List<Job> open = new ArrayList<>(queue); // the same, with null for jobs that are stuck
+        double[] ranks = new double[queue.size()];
+        for (int i = 0; i < ranks.length; i++) {
+            ranks[i] = rank(queue.get(i));
+        }
+        Misfits misfits = new Misfits();
+        int left = queue.size();
+        int starts = 0;
+        while (left > 0 && starts < STARTS_A_TURN) {
+            int at = 0;
+            if (open.get(0) == null) {
+                at = -1;
+                double lowest = Double.MAX_VALUE;
+                for (int i = 1; i < open.size(); i++) {
+                    if (open.get(i) != null && ranks[i] * (i + 1) < lowest) {
+                        lowest = ranks[i] * (i + 1);
+                        at = i;
+                    }
                 }
             }
+            Job pick = open.get(at);
+            Job head = queue.get(0);
+            Job protectedHead = pick != head && timeOfDay - head.acceptedAt > protectAfterMs ? head : null;
             List<Machine> machines = pick.spec.gang() ? chooseAll(pick, protectedHead, now)
                     : chooseOne(pick, protectedHead, now);
-            if (machines.isEmpty()) {
-                stuck.add(pick);
+            if (!machines.isEmpty()) {
+                start.accept(pick, machines);
+                starts += machines.size();
+                if (pick.nextWaiting(now) < 0) {
+                    queue.remove(at);
+                    open.remove(at);
+                    System.arraycopy(ranks, at + 1, ranks, at, ranks.length - at - 1);
+                    left--;
+                }
                 continue;
             }
-            start.accept(pick, machines);
-            if (pick.nextWaiting(now) < 0) {
-                queue.remove(pick);
-                waiting.remove(pick);
+            open.set(at, null);
+            left--;
+            if (misfits.add(pick) && board.withinLimit(pick)) {
+                // nobody who asks for as much or more finds room before something ends
+                for (int i = 0; i < open.size(); i++) {
+                    if (open.get(i) != null && misfits.cover(open.get(i))) {
+                        open.set(i, null);
+                        left--;
+                    }
+                }
             }
         }
-        return waiting;
+        cutShort = left > 0;
+        return queue;
+    }
+
+    /** Whether the last pass stopped before everything that fits was started. */
+    boolean cutShort() {
+        return cutShort;
     }
 
     /** Requested CPUs, GPUs and memory over the largest machine's, summed. */
@@ -139,24 +194,23 @@
         return machines;
     }
 
-    private Machine choose(Job job, Job protectedHead, long now) {
+    Machine choose(Job job, Job protectedHead, long now) {
         if (!board.withinLimit(job)) {
             return null;
         }
-        Machine best = null;
-        for (Machine m : board.machines.values()) {
-            if (!allowed(job, m, now) || !m.hasRoom(job, Set.of())
-                    || protectedHead != null && protectedHead.spec.fitsType(m.type)) {
-                continue;
+        Machine[] best = new Machine[1];
+        board.rooms.atLeast(job.spec.cpus(), m -> {
+            if (m.hasRoom(job) && allowed(job, m, now)
+                    && (protectedHead == null || !protectedHead.spec.fitsType(m.type))
+                    && (best[0] == null || better(job, m, best[0]))) {
+                best[0] = m;
             }
-            if (best == null || better(job, m, best)) {
-                best = m;
-            }
-        }
-        return best;
+        });
+        return best[0];
     }
 
-    private boolean better(Job job, Machine m, Machine than) {
+    /** Whether a machine is the better one of two; a total order, so that the search's order does not matter. */
+    boolean better(Job job, Machine m, Machine than) {
         boolean image = m.hasImage(job.spec.image());
         boolean imageDiffers = image != than.hasImage(job.spec.image());
         if (imageDiffers && needsImage(job, m.type)) {
@@ -179,11 +233,12 @@
                 return byZone < 0;
             }
         }
-        return m.type.cpus() - m.usedCpus() < than.type.cpus() - than.usedCpus();
+        int byRoom = Double.compare(m.type.cpus() - m.usedCpus(), than.type.cpus() - than.usedCpus());
+        return byRoom != 0 ? byRoom < 0 : m.compareTo(than) < 0;
     }
 
     /** True when the job is expected to start sooner than its image can be fetched. */
-    private boolean needsImage(Job job, MachineType type) {
+    boolean needsImage(Job job, MachineType type) {
         for (Settings.Objective aim : board.settings.objectives()) {
             if (aim.kind().equals("wait") && aim.jobClass().equals(job.spec.jobClass())) {
                 return aim.withinS() < job.spec.imageGb() / type.fetchGbPerS();
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Settings;
@@ -15,8 +16,14 @@
  * beyond its guarantee when the waiting job is within its own. Least loss first, and only if it makes the room.
  */
 final class Preemption {
+    /** Machines looked at in one turn, as a multiple of all. */
+    private static final int LOOKS_PER_MACHINE = 6;
+
+    private static final double[] NOTHING = new double[3];
+
     private final Board board;
     private final Placement placement;
+    private int looksLeft;
 
     /** CPUs and GPUs that teams are giving back already. */
     private final Map<String, double[]> givenBack = new HashMap<>();
@@ -34,31 +41,44 @@
         List<Stop> stops = new ArrayList<>();
         Set<Claim> going = new HashSet<>();
         givenBack.clear();
-        for (Machine m : board.machines.values()) {
-            for (Claim c : m.claims.values()) {
-                if (c.stopping()) {
-                    give(going, c);
-                }
-            }
-        }
+        board.stopping.forEach(c -> give(going, c));
         Map<String, double[]> promised = new HashMap<>(); // cpus, gpus, memory kept for earlier waiting tasks
+        Map<List<Object>, Placement.Misfits> misfits = new HashMap<>();
+        looksLeft = LOOKS_PER_MACHINE * board.machines.size() + LOOKS_PER_MACHINE;
         for (Job job : waiting) {
-            if (!mayPreempt(job, timeOfDay, urgentAfterMs) || !board.withinLimit(job)) {
+            if (looksLeft <= 0) {
+                break; // the rest in a later turn
+            }
+            if (!mayPreempt(job, timeOfDay, urgentAfterMs) || !board.withinLimit(job) || !anyToStop(job)) {
                 continue;
             }
             if (job.spec.gang() && job.waitingCount() > 1) {
                 continue; // room for a part of a gang helps nobody, so nothing is stopped for it
             }
-            int tasks = job.waitingCount();
-            for (int n = 0; n < tasks; n++) {
-                if (!makeRoom(job, now, going, promised, stops)) {
-                    break;
-                }
+            Placement.Misfits same = misfits.computeIfAbsent(List.of(job.spec.priority(), job.withinGuarantee,
+                    job.spec.team()), k -> new Placement.Misfits());
+            if (!same.cover(job) && makeRoom(job, now, going, promised, stops) == 0) {
+                same.add(job);
             }
         }
         return stops;
     }
 
+    /** Whether anything runs that might be stopped for this job; spares looking at every machine. */
+    private boolean anyToStop(Job job) {
+        if (board.anyBelow(job.spec.priority())) {
+            return true;
+        }
+        if (job.withinGuarantee) {
+            for (Settings.Team team : board.settings.teams()) {
+                if (!team.name().equals(job.spec.team()) && board.beyondGuarantee(team.name(), 0, 0)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     private void give(Set<Claim> going, Claim claim) {
         going.add(claim);
         double[] sum = givenBack.computeIfAbsent(claim.job.spec.team(), n -> new double[2]);
@@ -71,41 +91,61 @@
                 || job.spec.priority() == JobSpec.Priority.NORMAL && timeOfDay - job.acceptedAt > urgentAfterMs;
     }
 
-    private boolean makeRoom(Job job, long now, Set<Claim> going, Map<String, double[]> promised,
-            List<Stop> stops) {
-        Machine best = null;
-        List<Claim> bestVictims = null;
-        long bestLoss = Long.MAX_VALUE;
+    /** One machine where room can be made, with what that costs. */
+    private record Option(Machine machine, List<Claim> victims, boolean fetch, long loss) {}
+
+    /** Makes room for as many waiting tasks of a job as can be; returns for how many. */
+    private int makeRoom(Job job, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
+        PriorityQueue<Option> options = new PriorityQueue<>(Comparator.comparing(Option::fetch)
+                .thenComparingLong(Option::loss).thenComparing(Option::machine));
         for (Machine m : board.machines.values()) {
-            if (!placement.allowed(job, m, now)) {
-                continue;
+            if (m.heard && placement.allowed(job, m, now)) {
+                offer(options, option(job, m, now, going, promised));
             }
-            List<Claim> victims = victims(job, m, now, going, promised.getOrDefault(m.name, new double[3]));
-            if (victims == null) {
+        }
+        looksLeft -= board.machines.size();
+        int made = 0;
+        int tasks = job.waitingCount();
+        while (made < tasks && looksLeft > 0 && !options.isEmpty()) {
+            Option best = options.poll();
+            looksLeft--;
+            // what was decided since may have made it dearer, or not allowed any more
+            Option again = option(job, best.machine, now, going, promised);
+            if (again == null || again.loss > best.loss) {
+                offer(options, again);
                 continue;
             }
-            long loss = 0;
-            for (Claim v : victims) {
-                loss += 1 + v.lossMs(now);
-            }
-            if (loss < bestLoss) {
-                bestLoss = loss;
-                best = m;
-                bestVictims = victims;
+            double[] kept = promised.computeIfAbsent(best.machine.name, n -> new double[3]);
+            kept[0] += job.spec.cpus();
+            kept[1] += job.spec.gpus();
+            kept[2] += job.spec.memoryGb();
+            for (Claim v : again.victims) {
+                give(going, v);
+                stops.add(new Stop(v, hurry(job, v) ? 0 : v.job.spec.saveS(), job));
             }
+            made++;
+            offer(options, option(job, best.machine, now, going, promised));
         }
-        if (best == null) {
-            return false;
+        return made;
+    }
+
+    private static void offer(PriorityQueue<Option> options, Option option) {
+        if (option != null) {
+            options.add(option);
+        }
+    }
+
+    private Option option(Job job, Machine m, long now, Set<Claim> going, Map<String, double[]> promised) {
+        List<Claim> victims = victims(job, m, now, going, promised.getOrDefault(m.name, NOTHING));
+        if (victims == null) {
+            return null;
         }
-        double[] kept = promised.computeIfAbsent(best.name, n -> new double[3]);
-        kept[0] += job.spec.cpus();
-        kept[1] += job.spec.gpus();
-        kept[2] += job.spec.memoryGb();
-        for (Claim v : bestVictims) {
-            give(going, v);
-            stops.add(new Stop(v, hurry(job, v) ? 0 : v.job.spec.saveS(), job));
+        long loss = 0;
+        for (Claim v : victims) {
+            loss += 1 + v.lossMs(now);
         }
-        return true;
+        boolean fetch = placement.needsImage(job, m.type) && !m.hasImage(job.spec.image());
+        return new Option(m, victims, fetch, loss);
     }
 
     /** Saving takes time; work that has to start within a few seconds can't wait for it. */
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.Lists;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -45,6 +47,8 @@
     private boolean listedOnce;
     private boolean deleting;
     private boolean closed;
+    private int spotMachines;
+    private int allMachines;
 
     private static final class Refusal {
         long until;
@@ -87,15 +91,21 @@
             this.memory = type.memoryGb();
         }
 
-        boolean take(JobSpec s) {
-            if (!s.spot() && spot || s.zone() != null && !s.zone().equals(zone) || !s.fitsType(type)
-                    || s.cpus() > cpus + 1e-6 || s.gpus() > gpus + 1e-6 || s.memoryGb() > memory + 1e-6) {
-                return false;
+        boolean fits(JobSpec s) {
+            return (s.spot() || !spot) && (s.zone() == null || s.zone().equals(zone)) && s.fitsType(type)
+                    && s.cpus() <= cpus + 1e-6 && s.gpus() <= gpus + 1e-6 && s.memoryGb() <= memory + 1e-6;
+        }
+
+        /** Takes as many tasks as fit, and returns how many. */
+        int take(JobSpec s, int tasks) {
+            int taken = 0;
+            while (taken < tasks && fits(s)) {
+                cpus -= s.cpus();
+                gpus -= s.gpus();
+                memory -= s.memoryGb();
+                taken++;
             }
-            cpus -= s.cpus();
-            gpus -= s.gpus();
-            memory -= s.memoryGb();
-            return true;
+            return taken;
         }
     }
 
@@ -178,6 +188,7 @@
             if (l.state().equals("failed") && !m.deleting) {
                 LOG.info("machine {} has failed", m.name);
                 m.deleting = true;
+                board.rooms.update(m);
             }
         }
         for (Machine m : board.machines.values()) {
@@ -187,7 +198,7 @@
         }
         if (!listedOnce) {
             listedOnce = true;
-            board.machines.values().forEach(fleet::greet);
+            fleet.greetAll();
         }
     }
 
@@ -216,6 +227,8 @@
                 why = "nobody knows it";
             } else if (m.heard && m.lapsedSession >= m.session && now - m.heardAt > 3 * lease) {
                 why = "it is silent";
+            } else if (m.unreachedSince != 0 && now - m.unreachedSince > 3 * lease && settled) {
+                why = "it reports, but nothing that it is told reaches it";
             } else if (m.heard && m.claims.isEmpty() && settled && !fleet.silent(m)
                     && (m.noticeS >= 0 || m.faulty || m.draining)) {
                 why = "it is empty and shall not be used";
@@ -234,6 +247,7 @@
             if (why != null) {
                 LOG.info("returning machine {} with {} tasks: {}", m.name, m.claims.size(), why);
                 m.deleting = true;
+                board.rooms.update(m);
             }
         }
         delete();
@@ -294,10 +308,14 @@
         repeatRentals();
         List<Bin> coming = new ArrayList<>();
         Map<String, Integer> perZone = new HashMap<>();
+        spotMachines = 0;
+        allMachines = 0;
         for (Machine m : board.machines.values()) {
             if (m.deleting || m.type == null) {
                 continue;
             }
+            allMachines++;
+            spotMachines += m.spot ? 1 : 0;
             perZone.merge(m.zone, 1, Integer::sum);
             if (m.booting) { // what is said to run but does not report is no room to count on
                 coming.add(new Bin(m.type, m.zone, m.spot));
@@ -307,22 +325,35 @@
             for (int i = 0; i < r.count; i++) {
                 coming.add(new Bin(r.type, r.zone, r.spot));
             }
+            allMachines += r.count;
+            spotMachines += r.spot ? r.count : 0;
             perZone.merge(r.zone, r.count, Integer::sum);
         }
-        List<Bin> wanted = new ArrayList<>();
+        int known = coming.size();
         Map<String, Double> teamCpus = new HashMap<>();
         for (Job job : waiting) {
-            for (int n = job.waitingCount(); n > 0 && wanted.size() < MAX_RENT; n--) {
-                if (!withinLimit(job, teamCpus) || !fit(job.spec, coming, wanted, perZone)) {
+            int n = withinLimit(job, teamCpus);
+            n -= fill(job.spec, n, coming);
+            while (n > 0) {
+                Bin bin = cheapest(job.spec, perZone);
+                if (bin == null) {
                     break;
                 }
+                perZone.merge(bin.zone, 1, Integer::sum);
+                allMachines++;
+                spotMachines += bin.spot ? 1 : 0;
+                coming.add(bin);
+                n -= bin.take(job.spec, n);
             }
         }
         Map<String, List<Bin>> groups = new HashMap<>();
-        for (Bin bin : wanted) {
+        for (Bin bin : coming.subList(known, coming.size())) {
             groups.computeIfAbsent(group(bin.type, bin.zone, bin.spot), g -> new ArrayList<>()).add(bin);
         }
-        for (List<Bin> bins : groups.values()) {
+        List<List<Bin>> parts = new ArrayList<>();
+        groups.values().forEach(bins -> parts.addAll(Lists.partition(bins, MAX_RENT)));
+        parts.sort(Comparator.comparingInt(bins -> -bins.size())); // calls are few: those that bring most go first
+        for (List<Bin> bins : parts) {
             if (!calls.take(1, 0)) {
                 return;
             }
@@ -333,62 +364,47 @@
         }
     }
 
-    private boolean withinLimit(Job job, Map<String, Double> teamCpus) {
+    /** How many of a job's waiting tasks its team may still run, after what earlier jobs were promised. */
+    private int withinLimit(Job job, Map<String, Double> teamCpus) {
         Settings.Team team = board.settings.team(job.spec.team());
-        if (team == null || team.cpusMax() == 0) {
-            return true;
-        }
-        double sum = teamCpus.getOrDefault(team.name(), board.cpusOf(team.name())) + job.spec.cpus();
-        if (sum > team.cpusMax() + 1e-6) {
-            return false;
+        int tasks = job.waitingCount();
+        if (team == null || team.cpusMax() == 0 || job.spec.cpus() == 0) {
+            return tasks;
         }
-        teamCpus.put(team.name(), sum);
-        return true;
+        double used = teamCpus.getOrDefault(team.name(), board.cpusOf(team.name()));
+        int most = (int) Math.max(0, Math.min(tasks, (team.cpusMax() - used + 1e-6) / job.spec.cpus()));
+        teamCpus.put(team.name(), used + most * job.spec.cpus());
+        return most;
     }
 
-    private boolean fit(JobSpec spec, List<Bin> coming, List<Bin> wanted, Map<String, Integer> perZone) {
-        for (Bin bin : coming) {
-            if (bin.take(spec)) {
-                return true;
-            }
-        }
-        for (Bin bin : wanted) {
-            if (bin.take(spec)) {
-                return true;
+    private static int fill(JobSpec spec, int tasks, List<Bin> bins) {
+        int taken = 0;
+        for (Bin bin : bins) {
+            if (taken == tasks) {
+                break;
             }
+            taken += bin.take(spec, tasks - taken);
         }
+        return taken;
+    }
+
+    /** The machine to rent next for a job that nothing that is coming has room for. */
+    private Bin cheapest(JobSpec spec, Map<String, Integer> perZone) {
         Bin best = null;
-        boolean moreSpot = spotAllowed(wanted);
+        boolean moreSpot = spotMachines + 1 <= board.options.number(Options.SPOT_SHARE) * (allMachines + 1);
         for (MachineType type : board.types) {
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Bin bin = new Bin(type, zone, spot);
                     Refusal refusal = refusals.get(group(type, zone, spot));
-                    if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now()) && bin.take(spec)
+                    if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now()) && bin.fits(spec)
                             && (best == null || cheaper(bin, best, perZone))) {
                         best = bin;
                     }
                 }
             }
         }
-        if (best == null) {
-            return false;
-        }
-        perZone.merge(best.zone, 1, Integer::sum);
-        wanted.add(best);
-        return true;
-    }
-
-    /** Whether one more spot machine keeps their share within what operators allow. */
-    private boolean spotAllowed(List<Bin> wanted) {
-        double share = board.options.number(Options.SPOT_SHARE);
-        long spot = 1 + wanted.stream().filter(b -> b.spot).count();
-        long all = 1 + wanted.size();
-        for (Machine m : board.machines.values()) {
-            all += m.deleting ? 0 : 1;
-            spot += !m.deleting && m.spot ? 1 : 0;
-        }
-        return spot <= share * all;
+        return best;
     }
 
     private static boolean cheaper(Bin bin, Bin than, Map<String, Integer> perZone) {
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Rooms.java
@@ -0,0 +1,62 @@
+package stileferry.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Machines by the CPUs that are free on them, so that a search looks only at machines with room. It holds every
+ * machine that was heard and whose type is known; whoever searches checks everything else.
+ */
+final class Rooms {
+    private static final double EPSILON = 1e-6;
+
+    /** Machines with at least so many whole CPUs free, and less than one more. */
+    private final List<Set<Machine>> byFree = new ArrayList<>();
+
+    private long looks;
+
+    /** Takes in that a machine's claims, type or standing have changed. */
+    void update(Machine m) {
+        int slot = m.heard && m.type != null && !m.deleting ? slot(m.type.cpus() - m.usedCpus()) : -1;
+        if (slot == m.roomSlot) {
+            return;
+        }
+        remove(m);
+        if (slot >= 0) {
+            while (byFree.size() <= slot) {
+                byFree.add(new TreeSet<>());
+            }
+            byFree.get(slot).add(m);
+            m.roomSlot = slot;
+        }
+    }
+
+    /** Forgets a machine. */
+    void remove(Machine m) {
+        if (m.roomSlot >= 0) {
+            byFree.get(m.roomSlot).remove(m);
+            m.roomSlot = -1;
+        }
+    }
+
+    private static int slot(double free) {
+        return Math.max(0, (int) Math.floor(free + EPSILON));
+    }
+
+    /** Shows every machine that may have so many CPUs free, the fullest first. */
+    void atLeast(double cpus, Consumer<Machine> look) {
+        for (int slot = slot(cpus); slot < byFree.size(); slot++) {
+            Set<Machine> set = byFree.get(slot);
+            looks += set.size();
+            set.forEach(look);
+        }
+    }
+
+    /** Machines shown since the start, the measure of a search's work. */
+    long looks() {
+        return looks;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/TaskEvents.java
@@ -0,0 +1,202 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import stileferry.storage.Ledger;
+
+/** What is stored of tasks: claims, their ends, and tasks that are done; and how that is read again. */
+final class TaskEvents {
+    private static final int CLAIMED = 0;
+    private static final int FREED = 1;
+    private static final int DONE = 2;
+
+    /** Bytes of an event in JSON form beside its texts: brackets, quotes and numbers. */
+    private static final int BYTES = 48;
+
+    private TaskEvents() {}
+
+    /** A task may be on a machine from now on. */
+    static Ledger.Event claimed(Claim claim) {
+        return new Claimed(claim);
+    }
+
+    /** A claim has ended, and its task waits again. */
+    static Ledger.Event freed(Claim claim) {
+        return new Freed(claim.job, claim.index, claim.attempt);
+    }
+
+    /** A task is done. */
+    static Ledger.Event done(Job job, int index) {
+        return new Done(job, index, index);
+    }
+
+    private record Claimed(Claim claim) implements Ledger.Event {
+        @Override
+        public void write(ArrayNode into) {
+            into.add(CLAIMED).add(claim.job.spec.id()).add(claim.index).add(claim.attempt).add(claim.machine)
+                    .add(claim.session);
+        }
+
+        @Override
+        public int bytes() {
+            return BYTES + claim.job.spec.id().length() + claim.machine.length();
+        }
+
+        @Override
+        public void recorded(long record) {
+            claim.record = record;
+        }
+
+        @Override
+        public Ledger.Event kept(long record) {
+            return claim.record == record && claim.job.claims.get(claim.index) == claim ? this : null;
+        }
+    }
+
+    /** Needed only while an older record holds the claim, and older records are given up first. */
+    private record Freed(Job job, int index, long attempt) implements Ledger.Event {
+        @Override
+        public void write(ArrayNode into) {
+            into.add(FREED).add(job.spec.id()).add(index).add(attempt);
+        }
+
+        @Override
+        public int bytes() {
+            return BYTES + job.spec.id().length();
+        }
+
+        @Override
+        public void recorded(long record) {}
+
+        @Override
+        public Ledger.Event kept(long record) {
+            return null;
+        }
+    }
+
+    private record Done(Job job, int from, int to) implements Ledger.Event {
+        @Override
+        public void write(ArrayNode into) {
+            into.add(DONE).add(job.spec.id()).add(from).add(to);
+        }
+
+        @Override
+        public int bytes() {
+            return BYTES + job.spec.id().length();
+        }
+
+        @Override
+        public void recorded(long record) {
+            job.doneRecord(from, to, (int) record);
+        }
+
+        /** Together with its neighbours that are done by now, so that a long job takes ever fewer events. */
+        @Override
+        public Ledger.Event kept(long record) {
+            if (job.over) {
+                return null;
+            }
+            for (int i = from; i <= to; i++) {
+                if (job.doneRecord(i) == (int) record) {
+                    return new Done(job, job.done.previousClearBit(from) + 1, job.done.nextClearBit(to) - 1);
+                }
+            }
+            return null;
+        }
+    }
+
+    /** Reads stored records, in the order in which they were written. */
+    static final class Reader {
+        private final Map<String, Job> jobs;
+        private final Map<Job, Map<Integer, Claim>> claims = new HashMap<>();
+
+        Reader(Map<String, Job> jobs) {
+            this.jobs = jobs;
+        }
+
+        /** Takes one record in and returns its events. */
+        List<Ledger.Event> read(JsonNode record, long number) {
+            List<Ledger.Event> events = new ArrayList<>();
+            for (JsonNode e : record.path("e")) {
+                Job job = jobs.get(e.path(1).asText());
+                int index = e.path(2).asInt(-1);
+                if (job == null || index < 0 || index >= job.spec.tasks()) {
+                    continue; // the job is over
+                }
+                switch (e.path(0).asInt(-1)) {
+                    case CLAIMED -> events.add(claim(job, index, e.path(3).asLong(), e.path(4).asText(),
+                            e.path(5).asLong(), number));
+                    case FREED -> {
+                        Claim claim = of(job).get(index);
+                        if (claim != null && claim.attempt == e.path(3).asLong()) {
+                            of(job).remove(index);
+                        }
+                    }
+                    case DONE -> events.add(done(job, index, Math.min(e.path(3).asInt(), job.spec.tasks() - 1),
+                            number));
+                    default -> { }
+                }
+            }
+            return events;
+        }
+
+        /** Reads the older form: one part of a job's tasks, a bitmap of those done and the claims. */
+        List<Ledger.Event> readChunk(Job job, int chunk, JsonNode v, long number) {
+            List<Ledger.Event> events = new ArrayList<>();
+            int from = chunk * job.chunkTasks;
+            String hex = v.path("done").asText();
+            for (int i = 0; i < 4 * hex.length() && from + i < job.spec.tasks(); i++) {
+                // two digits a byte, the lowest bit first
+                int digit = Character.digit(hex.charAt(i / 8 * 2 + (i % 8 < 4 ? 1 : 0)), 16);
+                if ((digit >> i % 4 & 1) != 0) {
+                    events.add(done(job, from + i, from + i, number));
+                }
+            }
+            for (JsonNode c : v.path("claims")) {
+                int index = c.path(0).asInt(-1);
+                if (index >= 0 && index < job.spec.tasks()) {
+                    events.add(claim(job, index, c.path(1).asLong(), c.path(2).asText(), c.path(3).asLong(), number));
+                }
+            }
+            return events;
+        }
+
+        private Ledger.Event claim(Job job, int index, long attempt, String machine, long session, long number) {
+            Claim claim = new Claim(job, index, attempt, machine, session, 0);
+            claim.durable = true;
+            claim.runsSent = 1;
+            claim.record = number;
+            of(job).put(index, claim);
+            return new Claimed(claim);
+        }
+
+        private Ledger.Event done(Job job, int from, int to, long number) {
+            for (int i = from; i <= to; i++) {
+                job.finish(i);
+                of(job).remove(i);
+            }
+            Done done = new Done(job, from, to);
+            done.recorded(number);
+            return done;
+        }
+
+        private Map<Integer, Claim> of(Job job) {
+            return claims.computeIfAbsent(job, j -> new HashMap<>());
+        }
+
+        /** The claims that stand after all records. */
+        List<Claim> claims() {
+            List<Claim> all = new ArrayList<>();
+            claims.values().forEach(of -> of.values().forEach(c -> {
+                if (!c.job.done.get(c.index)) {
+                    all.add(c);
+                }
+            }));
+            return all;
+        }
+    }
+}
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -1,6 +1,9 @@
 package stileferry.protocol;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -20,27 +23,96 @@
         }
     }
 
-    /** Reads a report; null when it is malformed. A missing notice reads as -1. */
-    public static Report read(JsonNode n) {
-        if (n == null || !n.isObject() || !n.path("vessel").isTextual() || !n.path("voyage").isIntegralNumber()
-                || !n.path("log_seq").isIntegralNumber() || !n.path("helm").isIntegralNumber()) {
+    /** Reads a report's body; null when it is malformed. A missing notice reads as -1. */
+    public static Report read(byte[] body) {
+        try (JsonParser p = Wire.parser(body)) {
+            return p.nextToken() == JsonToken.START_OBJECT ? read(p) : null;
+        } catch (IOException | RuntimeException e) {
+            return null; // the decoder throws unchecked exceptions for some malformed input
+        }
+    }
+
+    /** Reads a report that came as an answer; null when it is malformed. */
+    public static Report read(JsonNode node) {
+        if (node == null || !node.isObject()) {
+            return null;
+        }
+        try (JsonParser p = node.traverse()) {
+            p.nextToken();
+            return read(p);
+        } catch (IOException | RuntimeException e) {
+            return null;
+        }
+    }
+
+    /** Field by field, without building a tree: hundreds of reports arrive every second. */
+    private static Report read(JsonParser p) throws IOException {
+        String machine = null;
+        String addr = "";
+        String type = "";
+        String zone = "";
+        boolean spot = false;
+        long session = -1;
+        long seq = -1;
+        long token = -1;
+        double noticeS = -1;
+        List<TaskState> tasks = List.of();
+        for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
+            JsonToken value = p.nextToken();
+            switch (name) {
+                case "vessel" -> machine = value == JsonToken.VALUE_STRING ? p.getText() : null;
+                case "addr" -> addr = p.getValueAsString("");
+                case "hull" -> type = p.getValueAsString("");
+                case "harbor" -> zone = p.getValueAsString("");
+                case "tender" -> spot = value == JsonToken.VALUE_TRUE;
+                case "voyage" -> session = count(p, value);
+                case "log_seq" -> seq = count(p, value);
+                case "helm" -> token = count(p, value);
+                case "recall_s" -> noticeS = value.isNumeric() ? Math.max(0, p.getDoubleValue()) : -1;
+                case "passengers" -> tasks = tasks(p, value);
+                default -> p.skipChildren();
+            }
+        }
+        if (p.currentToken() != JsonToken.END_OBJECT || machine == null || session < 0 || seq < 0 || token < 0) {
             return null;
         }
+        return new Report(machine, addr, type, zone, spot, session, seq, token, noticeS, tasks);
+    }
+
+    private static long count(JsonParser p, JsonToken value) throws IOException {
+        return value == JsonToken.VALUE_NUMBER_INT ? p.getLongValue() : -1;
+    }
+
+    private static List<TaskState> tasks(JsonParser p, JsonToken list) throws IOException {
+        if (list != JsonToken.START_ARRAY) {
+            p.skipChildren();
+            return List.of();
+        }
         List<TaskState> tasks = new ArrayList<>();
-        for (JsonNode t : n.path("passengers")) {
-            Stage stage = switch (t.path("tide").asText()) {
-                case "running" -> Stage.RUNNING;
-                case "saving" -> Stage.SAVING;
-                case "exited" -> Stage.EXITED;
-                default -> Stage.FETCHING; // also a gang's task that waits for the others
-            };
-            tasks.add(new TaskState(t.path("passenger").asText(), t.path("launch").asLong(), stage,
-                    t.path("landing_cause").asText(""), t.path("kept").asBoolean(false)));
-        }
-        return new Report(
-                n.path("vessel").textValue(), n.path("addr").asText(), n.path("hull").asText(),
-                n.path("harbor").asText(), n.path("tender").asBoolean(false),
-                n.path("voyage").longValue(), n.path("log_seq").longValue(), n.path("helm").longValue(),
-                n.path("recall_s").isNumber() ? Math.max(0, n.path("recall_s").doubleValue()) : -1, tasks);
+        while (p.nextToken() == JsonToken.START_OBJECT) {
+            String task = "";
+            long attempt = 0;
+            Stage stage = Stage.FETCHING; // also a gang's task that waits for the others
+            String why = "";
+            boolean saved = false;
+            for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
+                JsonToken value = p.nextToken();
+                switch (name) {
+                    case "passenger" -> task = p.getValueAsString("");
+                    case "launch" -> attempt = p.getValueAsLong();
+                    case "tide" -> stage = switch (p.getValueAsString("")) {
+                        case "running" -> Stage.RUNNING;
+                        case "saving" -> Stage.SAVING;
+                        case "exited" -> Stage.EXITED;
+                        default -> Stage.FETCHING;
+                    };
+                    case "landing_cause" -> why = p.getValueAsString("");
+                    case "kept" -> saved = value == JsonToken.VALUE_TRUE;
+                    default -> p.skipChildren();
+                }
+            }
+            tasks.add(new TaskState(task, attempt, stage, why, saved));
+        }
+        return tasks;
     }
 }
--- a/src/main/java/stileferry/protocol/Wire.java
+++ b/src/main/java/stileferry/protocol/Wire.java
@@ -1,5 +1,6 @@
 package stileferry.protocol;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -40,6 +41,11 @@
         }
     }
 
+    /** A parser of one body, for what comes too often to build trees of it. */
+    static JsonParser parser(byte[] bytes) throws IOException {
+        return MAPPER.createParser(bytes);
+    }
+
     /** Writes one body. */
     public static byte[] encode(JsonNode node) {
         try {
--- a/src/main/java/stileferry/storage/Budget.java
+++ b/src/main/java/stileferry/storage/Budget.java
@@ -21,13 +21,28 @@
 
     /** Takes tokens if that leaves the reserve (a share of the burst) untouched. */
     public boolean take(double count, double reserveShare) {
-        long now = outside.now();
-        tokens = Math.min(most, tokens + (now - filledAt) * perMs);
-        filledAt = now;
-        if (tokens < Math.min(count, most) + most * reserveShare && tokens < most) {
+        if (!has(count, reserveShare)) {
             return false;
         }
         tokens -= count;
         return true;
     }
+
+    /** Whether tokens could be taken now. */
+    public boolean has(double count, double reserveShare) {
+        fill();
+        return tokens >= Math.min(count, most) + most * reserveShare || tokens >= most;
+    }
+
+    /** Whole tokens that are there now. */
+    public int available() {
+        fill();
+        return (int) Math.max(0, Math.floor(tokens));
+    }
+
+    private void fill() {
+        long now = outside.now();
+        tokens = Math.min(most, tokens + (now - filledAt) * perMs);
+        filledAt = now;
+    }
 }
--- /dev/null
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -0,0 +1,156 @@
+package stileferry.storage;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import stileferry.protocol.Wire;
+
+/**
+ * A ring of bounded records that hold events, so that many small changes cost one write. A full ring gives its oldest
+ * record up in the same transaction that writes the new one; what is still needed of it goes into the new one. So the
+ * records, read in the order of their numbers, always tell the whole state.
+ */
+public final class EventLog {
+    static final String PREFIX = "l/";
+
+    /** Records in the ring; a new leader reads them in a few pages. */
+    static final int SLOTS = 1024;
+
+    /** Share of the value limit that a record may take in JSON form. */
+    private static final double FILL = 0.9;
+
+    private static final int ROW_BYTES = 80;
+
+    /** More than one event of an older form takes. */
+    private static final int OLD_EVENT_BYTES = 128;
+
+    private final Slot[] slots;
+    private final ArrayDeque<Slot> older = new ArrayDeque<>();
+    private final ArrayDeque<Pending> pending = new ArrayDeque<>();
+    private final int mostBytes;
+    private int pendingBytes;
+    private long lastNumber;
+
+    /** One record as it is stored, with what it holds. */
+    static final class Slot {
+        final Ledger.Entry entry;
+        long number;
+        List<Ledger.Event> events = List.of();
+        ObjectNode value = Wire.map();
+
+        Slot(String key, long revision, long number) {
+            this.entry = new Ledger.Entry(key, revision, () -> this.value);
+            this.number = number;
+        }
+    }
+
+    private record Pending(Ledger.Event event, Runnable onDurable) {}
+
+    /** What one transaction writes of the log. */
+    public record Batch(Ledger.Entry put, List<Ledger.Entry> deletions, int bytes, List<Runnable> actions) {}
+
+    /** A ring of so many records within the service's value limit. */
+    public EventLog(double valueKb, int records) {
+        slots = new Slot[records];
+        mostBytes = (int) (valueKb * 1024 * FILL);
+    }
+
+    /** Takes a stored record in. */
+    public void restore(String key, long revision, long number, List<Ledger.Event> events) {
+        Slot slot = new Slot(key, revision, number);
+        slot.events = events;
+        lastNumber = Math.max(lastNumber, number);
+        int at = at(key);
+        if (at >= 0) {
+            slots[at] = slot;
+        } else {
+            older.add(slot); // of another form or another ring's: copied and deleted before anything of the ring is
+        }
+    }
+
+    private int at(String key) {
+        try {
+            int at = key.startsWith(PREFIX) ? Integer.parseInt(key.substring(PREFIX.length())) : -1;
+            return at < slots.length ? at : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** Queues an event; the action runs once it is durable. */
+    public void add(Ledger.Event event, Runnable onDurable) {
+        pending.add(new Pending(event, onDurable));
+        pendingBytes += event.bytes();
+    }
+
+    /** Whether anything waits to be written. */
+    public boolean waits() {
+        return !pending.isEmpty() || !older.isEmpty();
+    }
+
+    /** Records that what waits would fill. */
+    public int backlog() {
+        return pendingBytes / mostBytes;
+    }
+
+    /** The next record, in a transaction that has room for so many changes; null when the ring has to wait. */
+    public Batch next(int changes) {
+        int at = (int) ((lastNumber + 1) % slots.length);
+        Slot slot = slots[at];
+        if (slot == null) {
+            slot = new Slot(PREFIX + at, 0, 0);
+            slots[at] = slot;
+        } else if (slot.entry.flying()) {
+            return null;
+        }
+        long number = ++lastNumber;
+        List<Ledger.Event> events = new ArrayList<>();
+        int bytes = keep(slot.number, slot.events, number, events, ROW_BYTES);
+        List<Ledger.Entry> deletions = new ArrayList<>();
+        while (!older.isEmpty() && deletions.size() < changes - 1 && bytes < mostBytes / 2) {
+            Slot old = older.peek();
+            int part = Math.min(old.events.size(), Math.max(1, (mostBytes - bytes) / OLD_EVENT_BYTES));
+            bytes = keep(old.number, old.events.subList(0, part), number, events, bytes);
+            old.events = old.events.subList(part, old.events.size());
+            if (old.events.isEmpty()) {
+                deletions.add(older.poll().entry);
+            }
+        }
+        List<Runnable> actions = new ArrayList<>();
+        while (!pending.isEmpty() && bytes + pending.peek().event.bytes() <= mostBytes) {
+            Pending p = pending.poll();
+            pendingBytes -= p.event.bytes();
+            bytes += take(p.event, number, events);
+            if (p.onDurable != null) {
+                actions.add(p.onDurable);
+            }
+        }
+        ObjectNode value = Wire.map().put("n", number);
+        ArrayNode list = value.putArray("e");
+        events.forEach(e -> e.write(list.addArray()));
+        slot.number = number;
+        slot.events = events;
+        slot.value = value;
+        return new Batch(slot.entry, deletions, bytes, actions);
+    }
+
+    private static int keep(long oldNumber, List<Ledger.Event> held, long number, List<Ledger.Event> events,
+            int bytes) {
+        int sum = bytes;
+        for (Ledger.Event e : held) {
+            Ledger.Event kept = e.kept(oldNumber);
+            if (kept != null) {
+                sum += take(kept, number, events);
+            }
+        }
+        return sum;
+    }
+
+    private static int take(Ledger.Event event, long number, List<Ledger.Event> events) {
+        events.add(event);
+        event.recorded(number);
+        return event.bytes();
+    }
+}
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -22,7 +22,13 @@
 public final class Ledger {
     private static final Logger LOG = LoggerFactory.getLogger("ledger");
 
-    private static final int MAX_IN_FLIGHT = 4;
+    private static final int MAX_IN_FLIGHT = 8;
+
+    /** Changes that any transaction may hold: a record of events, and one key put while another is deleted. */
+    private static final int LEAST_CHANGES = 3;
+
+    /** The prefix of the records that hold events. */
+    public static final String EVENTS = EventLog.PREFIX;
 
     /** Bytes of a transaction, counted in JSON form, kept well below the service's 64 KiB. */
     private static final int MAX_BYTES = Wire.MAX_BODY * 3 / 4;
@@ -34,10 +40,27 @@
     private final String stampPrefix;
     private final Runnable onLost;
     private final ArrayDeque<Entry> dirty = new ArrayDeque<>();
+    private final EventLog events;
     private int inFlight;
     private long stamps;
+    private boolean waiting;
     private boolean closed;
 
+    /** A small change that shares a record with others. It is written once, and again when its record is given up. */
+    public interface Event {
+        /** Writes it into a record. */
+        void write(ArrayNode into);
+
+        /** Its size in JSON form, at most; no larger for what {@link #kept} returns. */
+        int bytes();
+
+        /** Notes the number of the record that holds it now. */
+        void recorded(long record);
+
+        /** What has to be written again when this record is given up; null: nothing. */
+        Event kept(long record);
+    }
+
     /** One key; its value is made anew from the owner's state whenever it is written. */
     public static final class Entry {
         private final String key;
@@ -56,9 +79,18 @@
             this.value = value;
         }
 
-        /** True when the key exists in the service or is about to. */
-        public boolean stored() {
-            return revision != 0 || marked || flying;
+        boolean flying() {
+            return flying;
+        }
+
+        /** The key. */
+        public String key() {
+            return key;
+        }
+
+        /** The value as it would be written now. */
+        public ObjectNode value() {
+            return value.get();
         }
     }
 
@@ -86,6 +118,17 @@
         this.fenceRevision = fenceRevision;
         this.stampPrefix = Long.toString(term, 36) + "-";
         this.onLost = onLost;
+        this.events = new EventLog(state.limits().valueKb(), EventLog.SLOTS);
+    }
+
+    /** Takes in a record of events that was read from the service, in the order of their numbers. */
+    public void restore(String key, long revision, long number, List<Event> held) {
+        events.restore(key, revision, number, held);
+    }
+
+    /** Writes an event; the action runs once it is durable. */
+    public void log(Event event, Runnable onDurable) {
+        events.add(event, onDurable);
     }
 
     /** Marks a key as changed; the action runs once the change is durable. */
@@ -109,7 +152,7 @@
 
     /** Changes not yet sent. */
     public int backlog() {
-        return dirty.size();
+        return dirty.size() + events.backlog();
     }
 
     /** Stops everything; no action runs any more. */
@@ -128,10 +171,22 @@
         }
     }
 
-    /** Sends what is marked, as far as transactions may be in flight. */
+    /** Sends what is marked, as far as the service's rate allows; at low load nothing waits for anything else. */
     public void flush() {
-        while (!closed && inFlight < MAX_IN_FLIGHT) {
-            Transaction t = pack();
+        while (!closed && inFlight < MAX_IN_FLIGHT && (!dirty.isEmpty() || events.waits())) {
+            int wanted = dirty.size() + (events.waits() ? 1 : 0);
+            int room = state.writable();
+            if (room < Math.min(Math.min(wanted, state.gather()), state.limits().txnOps())) {
+                if (!waiting) {
+                    waiting = true;
+                    state.later(() -> {
+                        waiting = false;
+                        flush();
+                    });
+                }
+                return;
+            }
+            Transaction t = pack(Math.min(Math.max(LEAST_CHANGES, room), state.limits().txnOps()));
             if (t == null) {
                 return;
             }
@@ -140,9 +195,26 @@
         }
     }
 
-    private Transaction pack() {
-        int limit = state.limits().txnOps();
+    private Transaction begin() {
+        Transaction t = new Transaction(stampPrefix + Long.toString(stamps++, 36));
+        ArrayNode conditions = t.body.putArray("if");
+        conditions.addObject().put("path", fenceKey).put("entry_rev", fenceRevision);
+        t.body.putArray("apply");
+        return t;
+    }
+
+    private Transaction pack(int limit) {
         Transaction t = null;
+        EventLog.Batch batch = events.waits() ? events.next(limit) : null;
+        if (batch != null) {
+            t = begin();
+            add(t, batch.put(), batch.bytes());
+            for (Entry old : batch.deletions()) {
+                old.deleted = true;
+                add(t, old, 0);
+            }
+            t.actions.addAll(batch.actions());
+        }
         List<Entry> passed = new ArrayList<>();
         for (int n = dirty.size(); n > 0 && !dirty.isEmpty(); n--) {
             Entry entry = dirty.poll();
@@ -156,17 +228,14 @@
             }
             int need = partner == null ? 1 : 2;
             if (t == null) {
-                t = new Transaction(stampPrefix + Long.toString(stamps++, 36));
-                ArrayNode conditions = t.body.putArray("if");
-                conditions.addObject().put("path", fenceKey).put("entry_rev", fenceRevision);
-                t.body.putArray("apply");
+                t = begin();
             } else if (t.entries.size() + need > limit || t.bytes > MAX_BYTES / 2) {
                 passed.add(entry);
                 break;
             }
-            add(t, entry);
+            add(t, entry, -1);
             if (partner != null) {
-                add(t, partner);
+                add(t, partner, -1);
             }
         }
         for (int i = passed.size() - 1; i >= 0; i--) {
@@ -175,7 +244,7 @@
         return t;
     }
 
-    private void add(Transaction t, Entry entry) {
+    private void add(Transaction t, Entry entry, int knownBytes) {
         entry.marked = false;
         entry.flying = true;
         t.entries.add(entry);
@@ -190,7 +259,7 @@
         } else {
             ObjectNode value = entry.value.get().put("x", t.stamp);
             apply.addObject().put("put", entry.key).set("v", value);
-            t.bytes += 200 + value.toString().length();
+            t.bytes += 200 + (knownBytes >= 0 ? knownBytes : value.toString().length());
         }
     }
 
@@ -206,7 +275,7 @@
                 case 200 -> applied(t, body.path("ledger_rev").asLong());
                 case 409 -> {
                     if (t.ambiguous) {
-                        verify(t, 0, 0);
+                        verify(t);
                     } else {
                         lost();
                     }
@@ -229,29 +298,28 @@
         outside.after(pause / 2 + outside.random().nextLong(pause), next);
     }
 
-    /** Learns whether an unanswered transaction was the one that made its own repetition fail. */
-    private void verify(Transaction t, int at, long revision) {
+    /**
+     * Learns whether an unanswered transaction was the one that made its own repetition fail. It is applied whole or
+     * not at all, so one of its keys tells.
+     */
+    private void verify(Transaction t) {
         if (closed) {
             return;
         }
-        if (at == t.entries.size()) {
-            applied(t, revision);
-            return;
-        }
-        Entry entry = t.entries.get(at);
+        Entry entry = t.entries.stream().filter(e -> !t.deletions.contains(e)).findFirst().orElse(t.entries.get(0));
         state.get(entry.key, (status, body) -> {
             if (closed) {
                 return;
             }
             boolean deleted = t.deletions.contains(entry);
             if (status == 404 && deleted) {
-                verify(t, at + 1, revision);
+                applied(t, 0);
             } else if (status == 200 && !deleted && stamp(body).equals(t.stamp)) {
-                verify(t, at + 1, body.path("entry_rev").asLong());
+                applied(t, body.path("entry_rev").asLong());
             } else if (status == 200 || status == 404) {
                 lost();
             } else {
-                again(t, () -> verify(t, at, revision));
+                again(t, () -> verify(t));
             }
         });
     }
--- a/src/main/java/stileferry/storage/StateClient.java
+++ b/src/main/java/stileferry/storage/StateClient.java
@@ -16,6 +16,9 @@
     private static final double SHARE = 0.85;
 
     private static final double RESERVE = 0.2;
+
+    /** Seconds of the rate of changes that are gathered for a transaction under load. */
+    private static final double GATHER_S = 0.15;
     private static final long PUMP_MS = 20;
 
     private final Outside outside;
@@ -48,6 +51,21 @@
         return limits;
     }
 
+    /** Changes worth waiting for when more waits than may be written. */
+    public int gather() {
+        return (int) Math.max(1, Math.min(limits.writeRps() * SHARE, Math.ceil(limits.writeRps() * GATHER_S)));
+    }
+
+    /** Changes that may be written now without waiting. */
+    public int writable() {
+        return queue.isEmpty() && requests.has(1, RESERVE) ? writes.available() : 0;
+    }
+
+    /** Runs something when there may be room again. */
+    public void later(Runnable task) {
+        outside.after(PUMP_MS, task);
+    }
+
     /** How long an ordinary answer is waited for. */
     public long patienceMs() {
         return 1500;
--- a/src/main/java/stileferry/transport/HttpCaller.java
+++ b/src/main/java/stileferry/transport/HttpCaller.java
@@ -15,6 +15,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
@@ -27,7 +28,7 @@
 
 /** HTTP requests over kept connections, each with a time limit. All of it runs on the one IO thread. */
 final class HttpCaller {
-    private static final int MAX_IDLE = 8;
+    private static final int MAX_IDLE_EACH = 8;
 
     /** No answer that this service asks for is larger, but for a watch's, which has no limit of its own. */
     private static final int MAX_ANSWER = 4 * 1024 * 1024;
@@ -37,13 +38,18 @@
     private final UndertowClient client = UndertowClient.getInstance();
     private final Map<String, ArrayDeque<ClientConnection>> idle = new HashMap<>();
 
+    /** Idle connections with their addresses, the least lately used first. */
+    private final LinkedHashMap<ClientConnection, String> byUse = new LinkedHashMap<>();
+    private final int maxIdle;
+
     /** Takes an answer. */
     interface Answer {
         /** Called once, with an HTTP status, {@link Outside#NO_ANSWER} or {@link Outside#NOT_SENT}. */
         void done(int status, byte[] body);
     }
 
-    HttpCaller(XnioIoThread thread, ByteBufferPool buffers) {
+    HttpCaller(XnioIoThread thread, ByteBufferPool buffers, int maxIdle) {
+        this.maxIdle = maxIdle;
         this.thread = thread;
         this.buffers = buffers;
     }
@@ -52,6 +58,42 @@
         new Call(addr, method, path, body, answer).start(timeoutMs);
     }
 
+    private ClientConnection takeIdle(String addr) {
+        ArrayDeque<ClientConnection> kept = idle.get(addr);
+        while (kept != null && !kept.isEmpty()) {
+            ClientConnection c = kept.pollLast();
+            byUse.remove(c);
+            if (c.isOpen()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    /** Keeps a connection for the next request; with many addresses the least used one makes room. */
+    private void keep(String addr, ClientConnection connection) {
+        if (!connection.isOpen()) {
+            return;
+        }
+        ArrayDeque<ClientConnection> kept = idle.computeIfAbsent(addr, a -> new ArrayDeque<>(2));
+        if (kept.size() >= MAX_IDLE_EACH) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        kept.addLast(connection);
+        byUse.put(connection, addr);
+        if (byUse.size() > maxIdle) {
+            Map.Entry<ClientConnection, String> eldest = byUse.entrySet().iterator().next();
+            ArrayDeque<ClientConnection> there = idle.get(eldest.getValue());
+            there.remove(eldest.getKey());
+            if (there.isEmpty()) {
+                idle.remove(eldest.getValue());
+            }
+            byUse.remove(eldest.getKey());
+            IoUtils.safeClose(eldest.getKey());
+        }
+    }
+
     /** One request from its connection to its answer. */
     private final class Call implements ClientCallback<ClientExchange> {
         private final String addr;
@@ -75,12 +117,7 @@
 
         void start(long timeoutMs) {
             timer = thread.executeAfter(this::fail, timeoutMs, TimeUnit.MILLISECONDS);
-            ArrayDeque<ClientConnection> kept = idle.get(addr);
-            ClientConnection reuse = null;
-            while (kept != null && reuse == null && !kept.isEmpty()) {
-                ClientConnection c = kept.pollLast();
-                reuse = c.isOpen() ? c : null;
-            }
+            ClientConnection reuse = takeIdle(addr);
             if (reuse != null) {
                 send(reuse);
                 return;
@@ -206,14 +243,7 @@
             }
             over = true;
             timer.remove();
-            if (connection.isOpen()) {
-                ArrayDeque<ClientConnection> kept = idle.computeIfAbsent(addr, a -> new ArrayDeque<>());
-                if (kept.size() < MAX_IDLE) {
-                    kept.addLast(connection);
-                } else {
-                    IoUtils.safeClose(connection);
-                }
-            }
+            keep(addr, connection);
             answer.done(status, received.toByteArray());
         }
 
--- a/src/main/java/stileferry/transport/Loop.java
+++ b/src/main/java/stileferry/transport/Loop.java
@@ -18,7 +18,7 @@
     final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
     final HttpCaller http;
 
-    Loop() throws IOException {
+    Loop(int idleConnections) throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 0)
@@ -26,7 +26,7 @@
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
         thread = worker.getIoThread();
-        http = new HttpCaller(thread, buffers);
+        http = new HttpCaller(thread, buffers, idleConnections);
     }
 
     @Override
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -14,7 +14,7 @@
     /** Connections that say nothing for this long are closed; users poll every 5 s, workers report more often. */
     private static final int IDLE_MS = 60_000;
 
-    private final Loop loop = new Loop();
+    private final Loop loop;
     private final Owner owner;
     private final NetworkOutside outside;
     private final Undertow users;
@@ -22,6 +22,7 @@
 
     /** Opens the addresses and begins to work. */
     public Node(Settings settings) throws IOException {
+        loop = new Loop(settings.maxSockets() / 8);
         owner = new Owner(loop.thread);
         outside = new NetworkOutside(owner, loop);
         Coordinator coordinator = new Coordinator(settings, outside);
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -30,7 +30,7 @@
     private static final long LEASE_MS = 5000;
     private static final byte[] NOTHING = new byte[0];
 
-    private final Loop loop = new Loop();
+    private final Loop loop = new Loop(MACHINES);
     private final int port;
     private final List<String> controllers;
     private final List<String> names;
--- a/src/main/java/stileferry/transport/UserClient.java
+++ b/src/main/java/stileferry/transport/UserClient.java
@@ -25,7 +25,7 @@
     /** A client of the controllers at these addresses. */
     public UserClient(List<String> addrs) throws IOException {
         this.addrs = List.copyOf(addrs);
-        this.loop = new Loop();
+        this.loop = new Loop(this.addrs.size());
     }
 
     /** Asks one controller once; each call takes the next address. */
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -31,11 +31,12 @@
         board.setZone(machine, "za");
         machine.heard = true;
         machine.heardAt = NOW;
+        board.rooms.update(machine);
     }
 
     private Job job(String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
         Job job = new Job(new JobSpec("job-" + ++jobs, "any", team, kind, priority, tasks, cpus, 0, 1, "img", 1, null, null,
-                false, false, true, 60, 0, 0, -1), jobs, 0, 128, 0);
+                false, false, true, 60, 0, 0, -1), jobs, 0, 0);
         job.accepted = true;
         board.jobs.put(job.spec.id(), job);
         return job;
--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -23,7 +23,7 @@
         provisioning.list();
         w.play(1);
         Job job = new Job(new JobSpec("job-1", "any", "red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 1, 0, 1, "img",
-                1, null, null, false, false, true, 10, 0, 0, -1), 1, 0, 128, 0);
+                1, null, null, false, false, true, 10, 0, 0, -1), 1, 0, 0);
         board.add(new Claim(job, 0, 1, "host-000099", 1, 0));
         w.play(4);
         provisioning.returnMachines(true);
--- /dev/null
+++ b/src/test/java/stileferry/coordination/TaskEventsTest.java
@@ -0,0 +1,197 @@
+package stileferry.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Wire;
+import stileferry.storage.EventLog;
+import stileferry.storage.Ledger;
+
+/** What is stored of tasks, read again after any write, tells the state at that write. */
+class TaskEventsTest {
+    private static final double VALUE_KB = 8;
+
+    private static JobSpec spec(int number, int tasks) {
+        return new JobSpec("job-" + number, "any", "red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, tasks, 1, 0, 1, "img",
+                1, null, null, false, false, true, 10, 0, 0, -1);
+    }
+
+    private static Map<String, Job> jobs(int count, int tasks) {
+        Map<String, Job> jobs = new LinkedHashMap<>();
+        for (int i = 0; i < count; i++) {
+            Job job = new Job(spec(i, tasks), i, 2, 0);
+            job.accepted = true;
+            jobs.put(job.spec.id(), job);
+        }
+        return jobs;
+    }
+
+    /** Writes one record of the log into a map that stands for the store. */
+    private static void write(EventLog log, Map<String, JsonNode> store) {
+        EventLog.Batch batch = log.next(12);
+        JsonNode value = batch.put().value();
+        assertTrue(value.toString().length() < VALUE_KB * 1024, "a record of " + value.toString().length());
+        store.put(batch.put().key(), Wire.decode(Wire.encode(value)));
+        batch.deletions().forEach(e -> store.remove(e.key()));
+    }
+
+    private static TaskEvents.Reader read(Map<String, JsonNode> store, Map<String, Job> into, EventLog log) {
+        TaskEvents.Reader reader = new TaskEvents.Reader(into);
+        store.entrySet().stream().filter(e -> e.getKey().startsWith("l/"))
+                .sorted(Comparator.comparingLong(e -> e.getValue().path("n").asLong())).forEach(e -> {
+                    long n = e.getValue().path("n").asLong();
+                    List<Ledger.Event> events = reader.read(e.getValue(), n);
+                    if (log != null) {
+                        log.restore(e.getKey(), 1, n, events);
+                    }
+                });
+        return reader;
+    }
+
+    private static Map<String, Long> attempts(Iterable<Claim> claims) {
+        Map<String, Long> attempts = new TreeMap<>();
+        claims.forEach(c -> attempts.put(c.name, c.attempt));
+        return attempts;
+    }
+
+    /** A small ring that goes round many times, read again and taken over at random moments. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void theRingAlwaysTellsTheWholeState(long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        Map<String, JsonNode> store = new HashMap<>();
+        Map<String, Job> jobs = jobs(8, 60);
+        EventLog log = new EventLog(VALUE_KB, 8);
+        long attempt = 0;
+        for (int step = 0; step < 3000; step++) {
+            Job job = jobs.get("job-" + r.nextInt(8));
+            if (job.claims.isEmpty() || r.nextInt(5) < 2) {
+                int index = job.taken.nextClearBit(r.nextInt(60));
+                if (index < 60) {
+                    Claim claim = new Claim(job, index, ++attempt, "host-" + r.nextInt(20), 1, 0);
+                    job.claims.put(index, claim);
+                    job.taken.set(index);
+                    log.add(TaskEvents.claimed(claim), null);
+                }
+            } else {
+                Claim claim = job.claims.values().iterator().next();
+                job.claims.remove(claim.index);
+                if (r.nextInt(4) == 0) {
+                    job.finish(claim.index);
+                    log.add(TaskEvents.done(job, claim.index), null);
+                } else {
+                    job.taken.clear(claim.index);
+                    log.add(TaskEvents.freed(claim), null);
+                }
+            }
+            if (r.nextInt(3) == 0) {
+                while (log.waits()) {
+                    write(log, store);
+                }
+                Map<String, Job> copy = jobs(8, 60);
+                EventLog next = r.nextInt(50) == 0 ? new EventLog(VALUE_KB, 8) : null;
+                TaskEvents.Reader reader = read(store, copy, next);
+                List<Claim> claims = new ArrayList<>();
+                jobs.values().forEach(j -> claims.addAll(j.claims.values()));
+                assertEquals(attempts(claims), attempts(reader.claims()), "at step " + step);
+                for (Job j : jobs.values()) {
+                    assertEquals(j.done, copy.get(j.spec.id()).done, "at step " + step);
+                }
+                if (next != null) { // a new leader goes on with what it has read
+                    reader.claims().forEach(c -> {
+                        c.job.claims.put(c.index, c);
+                        c.job.taken.set(c.index);
+                    });
+                    jobs = copy;
+                    log = next;
+                }
+            }
+        }
+        assertEquals(8, store.size());
+    }
+
+    /** The largest job there may be, with every task claimed at once and half of them done, fits the ring. */
+    @Test
+    void aHundredThousandTasksFit() {
+        Map<String, JsonNode> store = new HashMap<>();
+        Map<String, Job> jobs = jobs(1, 100_000);
+        Job job = jobs.get("job-0");
+        EventLog log = new EventLog(VALUE_KB, 1024);
+        List<Claim> claims = new ArrayList<>();
+        for (int i = 0; i < 100_000; i++) {
+            Claim claim = new Claim(job, i, (1L << 40) + i, "host-123456", 100, 0);
+            job.claims.put(i, claim);
+            claims.add(claim);
+            log.add(TaskEvents.claimed(claim), null);
+        }
+        for (int i = 0; i < 100_000; i += 2) {
+            job.claims.remove(i);
+            job.finish(i);
+            log.add(TaskEvents.done(job, i), null);
+        }
+        int writes = 0;
+        while (log.waits()) {
+            write(log, store);
+            assertTrue(++writes < 4000, "the log writes the same again and again");
+        }
+        Map<String, Job> copy = jobs(1, 100_000);
+        TaskEvents.Reader reader = read(store, copy, null);
+        assertEquals(50_000, reader.claims().size());
+        assertEquals(job.done, copy.get("job-0").done);
+    }
+
+    /** Records of the first version: a part of a job's tasks each, with a bitmap in hexadecimal and the claims. */
+    @Test
+    void olderRecordsAreReadAndReplaced() {
+        Map<String, JsonNode> store = new HashMap<>();
+        Map<String, Job> jobs = jobs(1, 200);
+        Job job = jobs.get("job-0");
+        job.chunkTasks = 128;
+        ObjectNode part = Wire.map().put("done", "0184"); // tasks 0, 10 and 15 of this part
+        ArrayNode claims = part.putArray("claims");
+        for (int i = 16; i < 60; i++) {
+            claims.addArray().add(128 + i).add(7L << 32).add("host-000001").add(3);
+        }
+        EventLog log = new EventLog(VALUE_KB, 8);
+        TaskEvents.Reader reader = new TaskEvents.Reader(jobs);
+        store.put("c/job-0/1", part);
+        log.restore("c/job-0/1", 5, -1, reader.readChunk(job, 1, part, -1));
+        assertEquals("{128, 138, 143}", job.done.toString());
+        assertEquals(44, reader.claims().size());
+        reader.claims().forEach(c -> job.claims.put(c.index, c));
+        while (log.waits()) {
+            write(log, store);
+        }
+        assertEquals(1, store.size(), "the older record is gone: " + store.keySet());
+        Map<String, Job> copy = jobs(1, 200);
+        assertEquals(attempts(job.claims.values()), attempts(read(store, copy, null).claims()));
+        assertEquals(job.done, copy.get("job-0").done);
+    }
+
+    @Test
+    void aGangWaitsUntilNoneOfItIsLeft() {
+        JobSpec s = spec(1, 3);
+        Job job = new Job(new JobSpec(s.id(), s.jobClass(), s.team(), JobSpec.Kind.GANG, s.priority(), 3, 1, 0, 1, "img", 1,
+                null, null, false, false, true, 10, 0, 0, -1), 1, 2, 0);
+        job.accepted = true;
+        assertEquals(0, job.nextWaiting(0));
+        job.claims.put(1, new Claim(job, 1, 1, "m", 1, 0));
+        job.taken.set(1);
+        assertEquals(-1, job.nextWaiting(0), "a gang starts whole or not at all");
+    }
+}
