--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -37,6 +37,9 @@
     /** Users waiting for the acceptance, or for the cancellation, to be durable. */
     List<Consumer<PeerRecord.Answer>> waiting = new ArrayList<>();
 
+    /** Since when the first of them waits; 0: nobody does. */
+    long waitingSince;
+
     final Ledger.Entry record;
 
     /** Tasks in one part of the older form of record; 1 for jobs without such parts. */
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -31,6 +32,12 @@
     /** Passes rest for so many times as long as they take, so that reports and renewals get their turns. */
     private static final long PASS_REST = 5;
 
+    /** Transactions that may wait for the state service before no more is taken. */
+    private static final int BACKLOG_TRANSACTIONS = 4;
+
+    /** Users wait this long for a change to be durable: less than their own patience of 5 s. */
+    private static final long DURABLE_MS = 3000;
+
     /** Attempts of one term are numbered below this, so that attempts of a later term are always higher. */
     private static final long ATTEMPTS_PER_TERM = 1L << 32;
 
@@ -54,6 +61,9 @@
     private final Consolidation consolidation;
     private final long roundMs;
 
+    /** Jobs whose users wait for something to be durable. */
+    private final Set<Job> awaited = new LinkedHashSet<>();
+
     private long numbers;
     private Admin admin;
     private boolean active;
@@ -205,6 +215,7 @@
         outside.after(Math.round(1000 * board.options.number(Options.PASS_INTERVAL_S)), this::tick);
         fleet.checkLeases();
         fleet.probe();
+        giveUpWaiting();
         if (leadership.sure()) {
             provisioning.list();
             provisioning.returnMachines(settled());
@@ -244,7 +255,7 @@
     }
 
     private void passOnce(boolean regular) {
-        if (board.types.isEmpty() || ledger.backlog() > 4 * settings.state().txnOps()) {
+        if (board.types.isEmpty() || ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
             return;
         }
         long now = outside.now();
@@ -481,9 +492,30 @@
     private void answer(Job job, PeerRecord.Answer answer) {
         List<Consumer<PeerRecord.Answer>> waiting = job.waiting;
         job.waiting = new ArrayList<>();
+        job.waitingSince = 0;
+        awaited.remove(job);
         waiting.forEach(w -> w.accept(answer));
     }
 
+    private void await(Job job, Consumer<PeerRecord.Answer> reply) {
+        job.waiting.add(reply);
+        if (job.waitingSince == 0) {
+            job.waitingSince = outside.now();
+            awaited.add(job);
+        }
+    }
+
+    /** Users whose change is not durable in time hear at once that it isn't known yet, and when to come back. */
+    private void giveUpWaiting() {
+        long now = outside.now();
+        boolean sure = leadership.sure();
+        for (Job job : List.copyOf(awaited)) {
+            if (!sure || now - job.waitingSince > DURABLE_MS) {
+                answer(job, unavailable());
+            }
+        }
+    }
+
     private PeerRecord.Answer state(Job job, int status) {
         if (!job.accepted || job.cancelled && !job.cancelDurable) {
             return unavailable(); // the outcome of what would change the answer is not known yet
@@ -555,7 +587,7 @@
         if (job.accepted) {
             reply.accept(state(job, 200));
         } else {
-            job.waiting.add(reply);
+            await(job, reply);
         }
     }
 
@@ -586,8 +618,12 @@
             reply.accept(refusal(422, "more than the team's limit"));
             return;
         }
+        if (ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
+            reply.accept(unavailable()); // it would only wait, and everything behind it
+            return;
+        }
         Job job = new Job(spec, term * ATTEMPTS_PER_TERM + ++numbers, outside.timeOfDay(), 0);
-        job.waiting.add(reply);
+        await(job, reply);
         board.jobs.put(spec.id(), job);
         ledger.put(job.record, () -> {
             job.accepted = true;
@@ -647,7 +683,7 @@
         } else if (job.cancelDurable) {
             reply.accept(state(job, 200));
         } else {
-            job.waiting.add(reply); // answered when the job's end, or the cancellation, is durable
+            await(job, reply); // answered when the job's end, or the cancellation, is durable
             if (!job.ending && !job.cancelled) {
                 cancel(job);
             }
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -283,25 +283,27 @@
         lease = wonLease;
         ledSince = outside.now();
         java.util.Arrays.fill(ackedAt, -1);
+        sureUntil = 0;
         trust(sentAt);
         LOG.info("leading in term {}", term);
         int now = ++round;
-        outside.after(lifeMs / 4, () -> renew(now));
+        outside.after(lifeMs / 5, () -> renew(now));
         announce();
         listener.elected(term, leaderRevision);
     }
 
     private void trust(long sentAt) {
-        sureUntil = sentAt + Math.round(lifeMs * (1 - DRIFT)) - TIMER_SLACK_MS;
+        sureUntil = Math.max(sureUntil, sentAt + Math.round(lifeMs * (1 - DRIFT)) - TIMER_SLACK_MS);
     }
 
+    /** Renews again whether or not the last renewal was answered: a service that is slow now and then is not down. */
     private void renew(int forRound) {
         if (round != forRound || !leading) {
             return;
         }
         long sentAt = outside.now();
         boolean wasSure = sure();
-        state.touch(lease, lifeMs / 2, (status, body) -> {
+        state.touch(lease, lifeMs, (status, body) -> {
             if (round != forRound || !leading) {
                 return;
             }
@@ -310,17 +312,14 @@
                     LOG.info("the state service answers again, still leading in term {}", term);
                 }
                 trust(sentAt);
-                outside.after(lifeMs / 4, () -> renew(forRound));
             } else if (status == 404) {
                 LOG.info("the lease of term {} has ended", term);
                 stepDown();
-            } else {
-                if (wasSure && !sure()) {
-                    LOG.info("not sure to lead any more: the lease of term {} could not be renewed ({})", term, status);
-                }
-                outside.after(lifeMs / 8, () -> renew(forRound));
+            } else if (wasSure && !sure()) {
+                LOG.info("not sure to lead any more: the lease of term {} could not be renewed ({})", term, status);
             }
         });
+        outside.after(lifeMs / 5, () -> renew(forRound));
     }
 
     /** The leader tells everybody its term once a second; that also tells them that it is there. */
