--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -35,6 +35,9 @@
     /** Transactions that may wait for the state service before no more is taken. */
     private static final int BACKLOG_TRANSACTIONS = 4;
 
+    /** Seconds of the state service's rates that may wait before submissions are refused. */
+    private static final double BEHIND_S = 2;
+
     /** Users wait this long for a change to be durable: less than their own patience of 5 s. */
     private static final long DURABLE_MS = 3000;
 
@@ -571,6 +574,11 @@
             reply.accept(unreadable(id));
             return;
         }
+        long behindS = behindS();
+        if (behindS > 0) { // it would only wait, and everything behind it
+            reply.accept(new PeerRecord.Answer(503, (int) behindS, Wire.encode(Messages.error("too much to do, try again"))));
+            return;
+        }
         lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
             Job meanwhile = board.jobs.get(id);
             if (meanwhile != null) {
@@ -583,6 +591,13 @@
         }, () -> reply.accept(unavailable()));
     }
 
+    /** Seconds after which a submission is worth another try when the state service can't take it soon; 0: it can. */
+    private long behindS() {
+        double seconds = Math.max(ledger.backlog() / settings.state().writeRps(),
+                state.waiting() / settings.state().rps());
+        return seconds < BEHIND_S ? 0 : (long) Math.ceil(seconds);
+    }
+
     private void join(Job job, Consumer<PeerRecord.Answer> reply) {
         if (job.accepted) {
             reply.accept(state(job, 200));
@@ -618,10 +633,6 @@
             reply.accept(refusal(422, "more than the team's limit"));
             return;
         }
-        if (ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
-            reply.accept(unavailable()); // it would only wait, and everything behind it
-            return;
-        }
         Job job = new Job(spec, term * ATTEMPTS_PER_TERM + ++numbers, outside.timeOfDay(), 0);
         await(job, reply);
         board.jobs.put(spec.id(), job);
--- a/src/main/java/stileferry/storage/StateClient.java
+++ b/src/main/java/stileferry/storage/StateClient.java
@@ -58,7 +58,7 @@
 
     /** Changes that may be written now without waiting. */
     public int writable() {
-        return queue.isEmpty() && requests.has(1, RESERVE) ? writes.available() : 0;
+        return requests.has(1, RESERVE) ? writes.available() : 0;
     }
 
     /** Runs something when there may be room again. */
@@ -66,6 +66,11 @@
         outside.after(PUMP_MS, task);
     }
 
+    /** Reads and writes that wait for their turn. */
+    public int waiting() {
+        return queue.size();
+    }
+
     /** How long an ordinary answer is waited for. */
     public long patienceMs() {
         return 1500;
@@ -138,7 +143,11 @@
             send.run();
             return;
         }
-        queue.add(new Waiting(writeCount, send));
+        if (writeCount > 0) {
+            queue.addFirst(new Waiting(writeCount, send)); // reads may be many; what is to be durable goes first
+        } else {
+            queue.add(new Waiting(writeCount, send));
+        }
         pump();
     }
 
