--- a/src/main/java/stileferry/standin/StateService.java
+++ b/src/main/java/stileferry/standin/StateService.java
@@ -21,6 +21,7 @@
     private final List<Watch> watches = new ArrayList<>();
     private final List<Change> changes = new ArrayList<>();
     private long revision;
+    private long written;
     private long leaseIds;
     private long now;
 
@@ -47,6 +48,11 @@
         return item == null ? null : item.value;
     }
 
+    /** How many keys were put or deleted so far. */
+    public long changes() {
+        return written;
+    }
+
     /** Lets time pass: leases end and watches run out. */
     public void tick(long time) {
         now = time;
@@ -196,6 +202,7 @@
                 return;
             }
         }
+        written += apply.size();
         if (!apply.isEmpty()) {
             revision++;
         }
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -31,6 +31,7 @@
     static World day(long seed, double seconds) {
         World w = new World(seed);
         SplittableRandom r = w.random.split();
+        w.lateCopies = seed % 2 == 0 ? 0.1 : 0;
         w.play(3);
         int jobs = 0;
         for (double t = 0; t < seconds && w.violations.isEmpty(); t += 2) {
@@ -50,7 +51,13 @@
         }
         w.stateDown = false;
         w.refused.clear();
+        w.deaf.clear();
+        w.alone.clear();
+        w.slow.clear();
+        w.peersRefuse = false;
+        w.slowStoreMs = 0;
         w.lostAnswers = 0;
+        w.quietSince = w.now;
         w.play(90); // until every submission has been answered or given up
         for (World.User u : List.copyOf(w.users.values())) {
             if (u.spec.service() && u.accepted && !u.wantsCancel) {
@@ -67,7 +74,7 @@
         List<String> machines = w.cloud.up();
         String machine = machines.isEmpty() ? null : machines.get(r.nextInt(machines.size()));
         String addr = "w-" + machine + ":1";
-        switch (r.nextInt(10)) {
+        switch (r.nextInt(16)) {
             case 0, 1 -> restart(w, node, r.nextBoolean() ? 300 : 5000);
             case 2 -> nodes.forEach(n -> restart(w, n, 1000 + r.nextLong(4000)));
             case 3 -> w.cut(node.settings.node(), 1000 + r.nextLong(20_000));
@@ -95,6 +102,30 @@
                     w.after(15_000, () -> sick.faulty(false));
                 }
             }
+            case 9 -> {
+                w.deaf.add(addr);
+                w.after(1000 + r.nextLong(40_000), () -> w.deaf.remove(addr));
+            }
+            case 10 -> {
+                w.alone.add(node.settings.node());
+                w.after(1000 + r.nextLong(30_000), () -> w.alone.remove(node.settings.node()));
+            }
+            case 11 -> {
+                w.peersRefuse = true;
+                w.after(1000 + r.nextLong(20_000), () -> w.peersRefuse = false);
+            }
+            case 12 -> {
+                w.slow.put(node.settings.node(), 400L);
+                w.after(1000 + r.nextLong(20_000), () -> w.slow.remove(node.settings.node()));
+            }
+            case 13 -> {
+                w.slowStoreMs = 30 * 20;
+                w.after(1000 + r.nextLong(30_000), () -> w.slowStoreMs = 0);
+            }
+            case 14 -> { // back at once, while the others may just be choosing a leader
+                nodes.forEach(n -> restart(w, n, 100 + r.nextLong(200)));
+                w.after(500 + r.nextLong(2000), () -> restart(w, node, 100));
+            }
             default -> {
                 w.lostAnswers = 0.2;
                 w.after(4000, () -> w.lostAnswers = 0);
@@ -120,6 +151,144 @@
         assertTrue(w.starts > 20, "too little happened: " + w.starts + " starts");
     }
 
+    private static JobSpec service(int number, int tasks, double cpus) {
+        return new JobSpec("job-" + number, "any", "free", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, tasks, cpus, 0,
+                1, "img", 1, null, null, false, false, false, 0, 0, 0, -1);
+    }
+
+    private static JobSpec array(int number, String jobClass, JobSpec.Priority priority, int tasks, double runS) {
+        return new JobSpec("job-" + number, jobClass, "free", JobSpec.Kind.ARRAY, priority, tasks, 2, 0, 1, "img", 1, null,
+                null, false, false, true, runS, 0, 0, -1);
+    }
+
+    /** Reports arrive, but answers and commands do not: no more work there, its services elsewhere, then it is returned. */
+    @Test
+    void aMachineThatHearsNothingGetsNoWork() {
+        World w = new World(31);
+        w.play(3);
+        for (int i = 0; i < 6; i++) {
+            w.submit(service(i, 2, 3));
+        }
+        w.play(25);
+        String machine = w.machineInUse();
+        Worker deaf = w.workers.get("w-" + machine + ":1");
+        List<World.User> there = w.users.values().stream().filter(u -> w.machinesOf(u).contains(machine)).toList();
+        assertFalse(there.isEmpty());
+        w.deaf.add(deaf.addr());
+        w.cancel(there.get(0));
+        w.play(10); // the worker's own lease
+        for (int i = 10; i < 16; i++) {
+            w.submit(service(i, 1, 1));
+        }
+        w.play(20);
+        for (World.User u : w.users.values()) {
+            assertFalse(w.machinesOf(u).contains(machine), u.spec.id() + " is on a machine that hears nothing");
+            assertTrue(u.wantsCancel || !w.machinesOf(u).isEmpty(), u.spec.id() + " runs nowhere");
+        }
+        w.play(50);
+        assertFalse(w.cloud.up().contains(machine), "it is of no use and costs money");
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** A copy of a report is no sign of life: the machine it tells of may be gone, and a new leader can't know that. */
+    @Test
+    void lateCopiesMakeNoDeadMachineLookFit() {
+        World w = new World(32);
+        w.play(3);
+        w.submit(service(1, 2, 3));
+        w.play(20);
+        String machine = w.machineInUse();
+        var report = w.workers.get("w-" + machine + ":1").report();
+        World.Node first = w.leader();
+        w.cloud.take(machine);
+        first.crash();
+        w.play(6);
+        World.Node second = w.leader();
+        assertTrue(second != null && second != first);
+        for (int i = 0; i < 30; i++) {
+            w.copy(report, second);
+            w.play(1);
+        }
+        assertEquals(2, w.running(), "copies kept tasks waiting for a dead machine");
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** It may have led or not: it starts nothing, says so at once, and its workers go to the next leader. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aControllerWithItsWorkersOnlyHandsThemOver(boolean leader) {
+        World w = new World(33);
+        w.play(3);
+        w.submit(service(1, 3, 3));
+        w.play(25);
+        World.Node node = w.nodes.values().stream().filter(n -> n.coordinator.leads() == leader).findFirst().orElseThrow();
+        int ended = w.ended;
+        w.alone.add(node.settings.node());
+        w.play(60); // six leases
+        assertEquals(ended, w.ended, "no task was lost");
+        assertFalse(node.coordinator.leads(), "it learns from its workers that another leads");
+        World.Node other = w.leader();
+        assertTrue(other != null && other != node);
+        w.submit(array(2, "any", JobSpec.Priority.NORMAL, 6, 3));
+        w.play(40);
+        assertEquals("done", w.users.get("job-2").end, "the others serve on");
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** A record that can't be read is still a job that somebody was told is accepted. */
+    @Test
+    void anUnreadableRecordIsNotUnknown() {
+        World w = new World(34);
+        w.play(3);
+        w.submit(service(1, 1, 1));
+        w.play(10);
+        w.nodes.values().forEach(World.Node::crash);
+        w.state.request("POST", "/commit", stileferry.protocol.Wire.decode(stileferry.protocol.Wire.encode(
+                stileferry.protocol.Wire.map().set("apply", stileferry.protocol.Wire.list().add(
+                        stileferry.protocol.Wire.map().put("put", "j/job-1").set("v",
+                                stileferry.protocol.Wire.map().put("spec", "?")))))), (status, body) -> { });
+        w.nodes.values().forEach(n -> w.after(1000, n::start));
+        w.quietSince = w.now;
+        w.play(100);
+        assertEquals(List.of(), w.violations);
+        assertTrue(w.now - w.users.get("job-1").heardAt < 10_000, "nobody answers for it");
+    }
+
+    /** The checks must be able to fail: with all nodes gone nobody answers for a job. */
+    @Test
+    void aForgottenJobIsNoticed() {
+        World w = new World(35);
+        w.play(3);
+        w.submit(service(1, 1, 1));
+        w.play(10);
+        w.nodes.values().forEach(World.Node::crash);
+        w.quietSince = w.now;
+        w.play(74);
+        assertEquals(List.of(), w.violations);
+        w.play(6);
+        assertTrue(w.violations.stream().anyMatch(v -> v.startsWith("forgotten")), "nobody noticed");
+    }
+
+    /** Twice as much work as room for minutes: the largest of every class begin within four minutes all the same. */
+    @Test
+    void everybodyIsServedWhenThereIsMoreWorkThanRoom() {
+        World w = new World(36);
+        SplittableRandom r = w.random.split();
+        w.play(3);
+        int jobs = 0;
+        for (int t = 0; t < 300; t += 5) {
+            boolean large = jobs % 6 == 0;
+            w.submit(array(jobs++, "day", JobSpec.Priority.NORMAL, large ? 40 : 2 + r.nextInt(6), 10));
+            w.submit(array(jobs++, "night", JobSpec.Priority.IDLE, large ? 30 : 1 + r.nextInt(4), 10));
+            w.play(5);
+        }
+        w.play(240);
+        for (World.User u : w.users.values()) {
+            assertTrue(u.startedAt > 0, u.spec.id() + " never began");
+        }
+        assertEquals(List.of(), w.violations);
+    }
+
     @Test
     void theSameSeedPlaysTheSameDay() {
         World a = day(77, 60);
--- /dev/null
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -0,0 +1,196 @@
+package stileferry.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.MachineType;
+import stileferry.protocol.Settings;
+
+/** The size of the largest deployments: what is counted is work, not time. */
+class ScaleTest {
+    private static final long NOW = 100_000;
+
+    private static Board board(int machines, SplittableRandom r) {
+        Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za", "zb"),
+                List.of(new Settings.Team("red", 0, 0, 0, 0)),
+                List.of(new Settings.Objective("wait", "quick", 2, 0.9)),
+                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100);
+        Board board = new Board(settings);
+        board.types = List.of(new MachineType("small", 8, 0, 32, 9, 0.3, 1, 0.4, 10, List.of("za", "zb")),
+                new MachineType("large", 16, 0, 64, 9, 0.3, 2, 0.8, 10, List.of("za", "zb")));
+        for (int i = 0; i < machines; i++) {
+            Machine m = board.machine(String.format("host-%06d", r.nextInt(1_000_000)));
+            m.type = board.types.get(r.nextInt(2));
+            m.typeName = m.type.name();
+            m.spot = r.nextBoolean();
+            m.heard = true;
+            m.heardAt = NOW;
+            board.setZone(m, r.nextBoolean() ? "za" : "zb");
+            for (int n = r.nextInt(3); n > 0; n--) {
+                m.holds("img" + r.nextInt(5), 2);
+            }
+            for (int n = r.nextInt(4); n > 0; n--) {
+                m.finished(10, r.nextInt(120), 60);
+            }
+            m.faulty = r.nextInt(40) == 0;
+            board.rooms.update(m);
+        }
+        return board;
+    }
+
+    private static Job job(Board board, int number, SplittableRandom r) {
+        boolean service = r.nextInt(4) == 0;
+        Job job = new Job(new JobSpec("job-" + number, r.nextInt(3) == 0 ? "quick" : "any", "red",
+                service ? JobSpec.Kind.SERVICE : JobSpec.Kind.ARRAY, JobSpec.Priority.values()[r.nextInt(4)],
+                1 + r.nextInt(6), 0.5 * (1 + r.nextInt(8)), 0, 1 + r.nextInt(12), "img" + r.nextInt(5), 2,
+                r.nextInt(5) == 0 ? List.of("large") : null, r.nextInt(5) == 0 ? "za" : null, r.nextInt(6) == 0,
+                r.nextInt(4) == 0, r.nextBoolean(), 60, 0, 0, -1), number, NOW, 0);
+        job.accepted = true;
+        board.jobs.put(job.spec.id(), job);
+        return job;
+    }
+
+    /** The design's choice, by looking at every machine in the order of names. */
+    private static Machine plainChoice(Board board, Placement placement, Job job) {
+        Machine best = null;
+        for (Machine m : board.machines.values()) {
+            double cpus = job.spec.cpus();
+            double memory = job.spec.memoryGb();
+            for (Claim c : m.claims.values()) {
+                cpus += c.job.spec.cpus();
+                memory += c.job.spec.memoryGb();
+            }
+            if (cpus <= m.type.cpus() + 1e-6 && memory <= m.type.memoryGb() + 1e-6 && placement.allowed(job, m, NOW)
+                    && (best == null || placement.better(job, m, best))) {
+                best = m;
+            }
+        }
+        return best;
+    }
+
+    /** The order of the queue by the words of the design: the head if it fits, else the lowest rank times position. */
+    private static List<String> plainPass(Board board, Placement placement) {
+        List<String> starts = new ArrayList<>();
+        placement.markGuaranteed();
+        while (true) {
+            List<Job> queue = placement.queue(NOW);
+            Job pick = null;
+            double lowest = Double.MAX_VALUE;
+            for (int i = 0; i < queue.size(); i++) {
+                double value = i == 0 ? -1 : placement.rank(queue.get(i)) * (i + 1);
+                if (value < lowest && plainChoice(board, placement, queue.get(i)) != null) {
+                    lowest = value;
+                    pick = queue.get(i);
+                }
+            }
+            if (pick == null) {
+                return starts;
+            }
+            starts.add(claim(board, pick, plainChoice(board, placement, pick)));
+        }
+    }
+
+    private static String claim(Board board, Job job, Machine machine) {
+        Claim claim = new Claim(job, job.taken.nextClearBit(0), 1, machine.name, 1, NOW);
+        board.add(claim);
+        return claim.name + " on " + machine.name;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void theFastPassDecidesAsThePlainOne(long seed) {
+        SplittableRandom a = new SplittableRandom(seed);
+        SplittableRandom b = new SplittableRandom(seed);
+        Board fast = board(12, a);
+        Board plain = board(12, b);
+        int started = 0;
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < 8; i++) {
+                job(fast, 100 * round + i, a);
+                job(plain, 100 * round + i, b);
+            }
+            List<String> starts = new ArrayList<>();
+            new Placement(fast).pass(NOW, NOW, (job, machines) -> starts.add(claim(fast, job, machines.get(0))));
+            assertEquals(plainPass(plain, new Placement(plain)), starts);
+            started += starts.size();
+            for (Board board : List.of(fast, plain)) { // every third task ends
+                SplittableRandom r = new SplittableRandom(seed + round);
+                for (Job job : board.jobs.values()) {
+                    for (Claim c : List.copyOf(job.claims.values())) {
+                        if (r.nextInt(3) == 0) {
+                            board.remove(c, true);
+                        }
+                    }
+                }
+            }
+        }
+        assertTrue(started > 20, "too little happened: " + started);
+    }
+
+    /** 1,450 full machines with thousands of tasks, and hundreds of jobs that wait: a pass looks at next to nothing. */
+    @Test
+    void aPassOverAFullFleetLooksAtFewMachines() {
+        SplittableRandom r = new SplittableRandom(1);
+        Board board = board(1450, r);
+        Placement placement = new Placement(board);
+        for (int i = 0; i < 8000; i++) {
+            job(board, i, r);
+        }
+        int passes = 0;
+        do {
+            placement.pass(NOW, NOW, (job, machines) -> claim(board, job, machines.get(0)));
+            passes++;
+        } while (placement.cutShort());
+        int tasks = board.machines.values().stream().mapToInt(m -> m.claims.size()).sum();
+        assertTrue(tasks > 5000 && passes > 10, tasks + " tasks in " + passes + " passes");
+        Machine freed = board.machines.values().stream().filter(m -> m.claims.size() > 2 && m.usable()).findFirst()
+                .orElseThrow();
+        board.remove(freed.claims.values().iterator().next(), true);
+        long waiting = placement.queue(NOW).size();
+        long before = board.rooms.looks();
+        List<Machine> started = new ArrayList<>();
+        placement.pass(NOW, NOW, (job, machines) -> {
+            started.add(machines.get(0));
+            claim(board, job, machines.get(0));
+        });
+        long looks = board.rooms.looks() - before;
+        assertTrue(!started.isEmpty(), "the room that came free is used");
+        assertSame(freed, started.get(0));
+        assertTrue(looks * 50 < waiting * 1450, looks + " looks at machines for one task that ended, " + waiting
+                + " jobs wait");
+    }
+
+    /** A day at the grown size: rules, and how much is asked of the state service for thousands of starts and ends. */
+    @Test
+    void aGrownFleetStaysWithinTheRates() {
+        World w = new World(5, 363, 6, 0);
+        SplittableRandom r = w.random.split();
+        w.play(3);
+        int jobs = 0;
+        for (int t = 0; t < 60; t++) {
+            for (int i = 0; i < 2; i++) {
+                w.submit(new JobSpec("job-" + jobs++, "any", "free", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL,
+                        20 + r.nextInt(60), 2, 0, 4, "img" + r.nextInt(5), 1, null, null, false, false, true,
+                        10 + r.nextInt(30), 0, 0, -1));
+            }
+            w.play(1);
+        }
+        World.Node leader = w.leader();
+        leader.crash();
+        w.after(5000, leader::start);
+        w.quietSince = w.now;
+        w.play(120);
+        assertEquals(List.of(), w.violations);
+        assertTrue(w.users.values().stream().allMatch(u -> "done".equals(u.end)), "work is left");
+        assertTrue(w.starts > 5000, w.starts + " starts");
+        assertTrue(w.state.changes() < w.starts, w.state.changes() + " changes for " + w.starts + " starts and as many ends");
+    }
+}
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -30,6 +30,8 @@
     static final String STATE = "10.9.0.1:1";
     static final String CLOUD = "10.9.0.2:1";
     static final double CANCEL_S = 20;
+    static final double FORGOTTEN_S = 75;
+    private static final double REPORT_S = 2;
 
     final SplittableRandom random;
     final List<String> violations = new ArrayList<>();
@@ -48,10 +50,33 @@
     /** Nodes that the state service answers 503. */
     final Set<String> refused = new TreeSet<>();
 
+    /** Hosts whose messages arrive, while nothing reaches them. */
+    final Set<String> deaf = new TreeSet<>();
+
+    /** Nodes cut off from the state service and the other nodes, but not from workers and users. */
+    final Set<String> alone = new TreeSet<>();
+
+    /** Nodes refuse each other's connections. */
+    boolean peersRefuse;
+
+    /** Nodes that take up to so many milliseconds longer for everything that reaches them. */
+    final Map<String, Long> slow = new HashMap<>();
+
+    /** What the state service's answers take longer, at most. */
+    long slowStoreMs;
+
+    /** The share of reports of which a copy arrives once more, seconds to well over a lease later, anywhere. */
+    double lateCopies;
+
+    /** Since when the troubles are over; 0: they are not. From then on every job must be answered for. */
+    long quietSince;
+
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long eventIds;
     private final Map<String, String> taskOn = new HashMap<>();
     private final Settings template;
+    private final long reportMs;
+    private final long leaseMs;
     int starts;
     int finished;
     int ended;
@@ -72,6 +97,9 @@
         boolean wantsCancel;
         long cancelledAt;
         final Set<Integer> tasksDone = new TreeSet<>();
+        long heardAt;
+        long endAt;
+        long startedAt;
 
         User(JobSpec spec) {
             this.spec = spec;
@@ -105,18 +133,25 @@
     }
 
     World(long seed) {
+        this(seed, 5, REPORT_S, 40);
+    }
+
+    /** A world with so many machines of each kind in each of two zones, and a limit for the team that has one. */
+    World(long seed, int machines, double reportS, double redMax) {
         random = new SplittableRandom(seed);
-        template = settings("n0");
-        cloud = new Cloud("box", 8, 32, 5, List.of("za", "zb"), 5, 3000, this::boot, this::remove);
+        reportMs = Math.round(reportS * 1000);
+        leaseMs = 5 * reportMs;
+        template = settings("n0", reportS, redMax);
+        cloud = new Cloud("box", 8, 32, 5, List.of("za", "zb"), machines, 3000, this::boot, this::remove);
         for (int i = 0; i < 3; i++) {
-            Node node = new Node(settings("n" + i));
+            Node node = new Node(settings("n" + i, reportS, redMax));
             nodes.put("n" + i, node);
         }
         nodes.values().forEach(n -> after(random.nextLong(500), n::start));
         after(50, this::beat);
     }
 
-    private static Settings settings(String name) {
+    private static Settings settings(String name, double reportS, double redMax) {
         StringBuilder seeds = new StringBuilder();
         for (int i = 0; i < 3; i++) {
             if (!name.equals("n" + i)) {
@@ -127,12 +162,12 @@
         SettingsReader.Result read = SettingsReader.read("""
                 {"host_name":"%s","zone":"za","client_listen":"10.0.0.9:1","peer_bind":"10.0.0.9:2","seeds":[%s],
                 "outside":{"cloud":"%s","state":"%s"},
-                "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":24,"cpus_max":40},
+                "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":24,"cpus_max":%s},
                 {"name":"blue","cpus":16,"cpus_max":24},{"name":"free"}],"objectives":[],
-                "workers":{"report_s":2,"lease_s":10,"cancel_s":%s},
+                "workers":{"report_s":%s,"lease_s":%s,"cancel_s":%s},
                 "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},
                 "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000}}}
-                """.formatted(name, seeds, CLOUD, STATE, CANCEL_S));
+                """.formatted(name, seeds, CLOUD, STATE, redMax, reportS, 5 * reportS, CANCEL_S));
         if (read.settings() == null) {
             throw new IllegalStateException(read.problems().toString());
         }
@@ -165,6 +200,10 @@
             w.tick(now);
         }
         for (User user : users.values()) {
+            if (quietSince > 0 && user.accepted && user.end == null
+                    && now - Math.max(quietSince, user.heardAt) > FORGOTTEN_S * 1000) {
+                violations.add("forgotten: " + user.spec.id() + " is not answered for");
+            }
             if (user.cancelledAt > 0 && now - user.cancelledAt > CANCEL_S * 1000) {
                 for (String task : taskOn.keySet()) {
                     if (task.startsWith(user.spec.id() + "/")) {
@@ -187,8 +226,18 @@
     }
 
     private void deliver(String from, String to, Runnable task) {
+        if (deaf.contains(to) || cutOff(from, to)) {
+            return;
+        }
         long held = Math.max(0, heldUntil(from, to) - now);
-        after(held + 1 + random.nextLong(6), task);
+        long late = slow.containsKey(to) ? random.nextLong(slow.get(to)) : 0;
+        late += from.equals(STATE) && slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0;
+        after(held + late + 1 + random.nextLong(6), task);
+    }
+
+    private boolean cutOff(String from, String to) {
+        boolean inside = nodes.containsKey(from) && nodes.containsKey(to) || from.equals(STATE) || to.equals(STATE);
+        return inside && (alone.contains(from) || alone.contains(to));
     }
 
     /** A request with its answer; the caller gives up in time, but what was sent arrives all the same. */
@@ -293,7 +342,7 @@
             String me = node.settings.node();
             Node other = nodes.get(peer.node());
             PeerRecord[] answer = new PeerRecord[1];
-            exchange(me, peer.node(), timeoutMs, other.up() && heldUntil(me, peer.node()) <= now, r -> {
+            exchange(me, peer.node(), timeoutMs, !peersRefuse && other.up() && heldUntil(me, peer.node()) <= now, r -> {
                 if (other.up()) {
                     other.outside.turn(() -> other.coordinator.peer(PeerRecord.read(PeerRecord.write(record)), a -> {
                         answer[0] = PeerRecord.read(PeerRecord.write(a));
@@ -309,7 +358,7 @@
     private Worker boot(String machine, String place) {
         String[] parts = place.split("\\|");
         String addr = "w-" + machine + ":1";
-        Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), 8, 32, 10_000, now,
+        Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), 8, 32, leaseMs, now,
                 id -> users.containsKey(id) ? users.get(id).spec : null, watcher());
         workers.put(addr, w);
         reportLoop(w, "n" + random.nextInt(3));
@@ -329,6 +378,10 @@
         long session = w.session();
         w.takeChanged();
         JsonNode report = Wire.decode(Wire.encode(w.report()));
+        if (random.nextDouble() < lateCopies) {
+            Node any = nodes.get("n" + random.nextInt(3));
+            after(1000 + random.nextLong(3 * leaseMs), () -> copy(report, any));
+        }
         Node node = nodes.get(to);
         exchange(w.addr(), to, 4000, node.up() && heldUntil(w.addr(), to) <= now, r -> {
             if (node.up()) {
@@ -340,7 +393,7 @@
             }
             if (status == 200) {
                 w.answered(Wire.decode(Wire.encode(body)), session, sentAt);
-                waitForReport(w, to, now + 1500 + random.nextLong(1000), now + 500);
+                waitForReport(w, to, now + reportMs * 3 / 4 + random.nextLong(reportMs / 2), now + 500);
             } else if (status == 421 && nodes.containsKey(body.path("harbormaster").asText())) {
                 after(random.nextLong(500), () -> reportLoop(w, body.path("harbormaster").asText()));
             } else {
@@ -350,6 +403,13 @@
         });
     }
 
+    /** A copy of a report; nobody waits for its answer. */
+    void copy(JsonNode report, Node to) {
+        if (to.up()) {
+            to.outside.turn(() -> to.coordinator.report(Wire.encode(report), (status, body) -> { }));
+        }
+    }
+
     private void waitForReport(Worker w, String to, long latest, long earliest) {
         if (now >= latest || now >= earliest && w.takeChanged()) {
             reportLoop(w, to);
@@ -366,6 +426,7 @@
             public void started(String task, Worker w) {
                 starts++;
                 User user = users.get(task.substring(0, task.indexOf('/')));
+                user.startedAt = user.startedAt == 0 ? now : user.startedAt;
                 if (taskOn.containsKey(task)) {
                     violations.add("ran_twice: " + task + " on " + taskOn.get(task) + " and " + w.machine());
                 }
@@ -434,9 +495,15 @@
         Node node = nodes.get("n" + random.nextInt(3));
         byte[] body = ask == PeerRecord.Ask.SUBMIT ? Wire.encode(user.spec.write()) : new byte[0];
         PeerRecord.Answer[] answer = new PeerRecord.Answer[1];
+        long asked = now;
         exchange("user", node.settings.node(), 5000, node.up(), r -> {
             if (node.up()) {
+                long since = now;
                 node.outside.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
+                    if (a.status() == 503 && (a.retryAfterS() < 1 || now - since > 4500)) {
+                        violations.add("held back: " + ask + " for " + (now - since) + " ms, come back in "
+                                + a.retryAfterS() + " s");
+                    }
                     answer[0] = a;
                     r.done(a.status(), null);
                 }));
@@ -444,15 +511,16 @@
         }, (status, none) -> {
             boolean final_ = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
             if (final_) {
-                told(user, ask, status, Wire.decode(answer[0].body()));
+                told(user, ask, asked, status, Wire.decode(answer[0].body()));
             } else if (now < until) {
                 after(1000, () -> ask(user, ask, until));
             }
         });
     }
 
-    private void told(User user, PeerRecord.Ask ask, int status, JsonNode body) {
+    private void told(User user, PeerRecord.Ask ask, long asked, int status, JsonNode body) {
         String id = user.spec.id();
+        user.heardAt = now;
         if (status == 404 || status == 400 || status == 422) {
             if (user.accepted) {
                 violations.add("forgotten: " + id + " is answered " + status + " to " + ask);
@@ -460,6 +528,9 @@
             return;
         }
         String tide = body.path("tide").asText();
+        if (user.end != null && !user.end.equals(tide) && asked < user.endAt) {
+            return; // asked before the end was told, and answered for that moment, but slow to arrive
+        }
         if (user.end != null && !user.end.equals(tide)) {
             violations.add("went_back: " + id + " was " + user.end + " and is " + tide);
         }
@@ -473,7 +544,10 @@
             user.cancelledAt = now;
         }
         if (tide.equals("done") || tide.equals("cancelled")) {
-            finished += user.end == null ? 1 : 0;
+            if (user.end == null) {
+                finished++;
+                user.endAt = now;
+            }
             user.end = tide;
         }
         if (ask == PeerRecord.Ask.SUBMIT && !user.accepted) {
@@ -487,6 +561,22 @@
         after(user.end == null ? 3000 : 15_000, () -> poll(user));
     }
 
+    /** The machines that have a task of this job. */
+    Set<String> machinesOf(User user) {
+        Set<String> names = new TreeSet<>();
+        taskOn.forEach((task, on) -> {
+            if (task.startsWith(user.spec.id() + "/")) {
+                names.add(on.substring(0, on.indexOf('|')));
+            }
+        });
+        return names;
+    }
+
+    /** Tasks that are on machines now. */
+    int running() {
+        return taskOn.size();
+    }
+
     /** A machine with a task on it. */
     String machineInUse() {
         String on = new java.util.TreeMap<>(taskOn).firstEntry().getValue();
