--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -74,6 +74,9 @@
     /** Images that tasks here were seen with, the latest last, with their sizes. */
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
 
+    /** Images of the tasks that may be here, with how many need them. */
+    private final Map<String, Integer> fetches = new HashMap<>();
+
     /** Jobs that failed here since a task last succeeded here. */
     final Map<String, Integer> failures = new HashMap<>();
 
@@ -116,6 +119,7 @@
         cpusUsed = empty ? 0 : cpusUsed + sign * claim.job.spec.cpus();
         gpusUsed = empty ? 0 : gpusUsed + sign * claim.job.spec.gpus();
         memoryUsed = empty ? 0 : memoryUsed + sign * claim.job.spec.memoryGb();
+        fetches.merge(claim.job.spec.image(), sign, (a, b) -> a + b <= 0 ? null : a + b);
     }
 
     /** Whether a task of this job fits beside all that may be here. */
@@ -150,4 +154,9 @@
     boolean hasImage(String image) {
         return images.containsKey(image);
     }
+
+    /** How near an image is: 2, it is here; 1, a task that may be here fetches it; 0, neither. */
+    int nearness(String image) {
+        return images.containsKey(image) ? 2 : fetches.containsKey(image) ? 1 : 0;
+    }
 }
