--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -66,7 +66,7 @@
         this.state = state;
         this.settings = settings;
         this.listener = listener;
-        this.lifeMs = Math.max(1000, Math.min(5000, Math.round(settings.workers().reportS() * LIFE_IN_REPORTS * 1000)));
+        this.lifeMs = Math.max(1000, Math.min(1500, Math.round(settings.workers().reportS() * LIFE_IN_REPORTS * 1000)));
         this.ackedAt = new long[settings.peers().size()];
     }
 
