--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -13,8 +13,7 @@
 
 /**
  * Makes room for tasks that may ask for it: by stopping work of lower priority, or work that another team runs
- * beyond its guarantee when the waiting job is within its own. Least urgent work first, then least loss, and only if it
- * makes the room.
+ * beyond its guarantee when the waiting job is within its own. Least loss first, and only if it makes the room.
  */
 final class Preemption {
     /** Machines looked at in one turn, as a multiple of all. */
@@ -93,12 +92,12 @@
     }
 
     /** One machine where room can be made, with what that costs. */
-    private record Option(Machine machine, List<Claim> victims, boolean fetch, int urgency, long loss) {}
+    private record Option(Machine machine, List<Claim> victims, boolean fetch, long loss) {}
 
     /** Makes room for as many waiting tasks of a job as can be; returns for how many. */
     private int makeRoom(Job job, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
         PriorityQueue<Option> options = new PriorityQueue<>(Comparator.comparing(Option::fetch)
-                .thenComparingInt(Option::urgency).thenComparingLong(Option::loss).thenComparing(Option::machine));
+                .thenComparingLong(Option::loss).thenComparing(Option::machine));
         for (Machine m : board.machines.values()) {
             if (m.heard && placement.allowed(job, m, now)) {
                 offer(options, option(job, m, now, going, promised));
@@ -112,7 +111,7 @@
             looksLeft--;
             // what was decided since may have made it dearer, or not allowed any more
             Option again = option(job, best.machine, now, going, promised);
-            if (again == null || again.urgency > best.urgency || again.loss > best.loss) {
+            if (again == null || again.loss > best.loss) {
                 offer(options, again);
                 continue;
             }
@@ -141,15 +140,12 @@
         if (victims == null) {
             return null;
         }
-        // Less urgent work first, however much it loses: one task stopped makes its whole job late.
-        int urgency = 0;
         long loss = 0;
         for (Claim v : victims) {
-            urgency = Math.max(urgency, JobSpec.Priority.IDLE.ordinal() - v.job.spec.priority().ordinal() + 1);
             loss += 1 + v.lossMs(now);
         }
         boolean fetch = placement.needsImage(job, m.type) && !m.hasImage(job.spec.image());
-        return new Option(m, victims, fetch, urgency, loss);
+        return new Option(m, victims, fetch, loss);
     }
 
     /** Saving takes time; work that has to start within a few seconds can't wait for it. */
