--- a/src/main/java/stileferry/cli/Rehearse.java
+++ b/src/main/java/stileferry/cli/Rehearse.java
@@ -24,8 +24,7 @@
         } catch (java.io.IOException | RuntimeException e) {
             System.err.println("stileferry: the class archive will be smaller, the start slower: " + e);
         }
-        System.exit(0); // the archive is written at the end, whatever threads are left
-        return 0;
+        return 0; // the way out is rehearsed too; the archive is written at the end
     }
 
     private static void play() throws Exception {
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -29,6 +29,13 @@
     private static final long LAPSE_SLACK_MS = 500;
     private static final long GREET_MS = 100;
 
+    /** Reports come a quarter late at most. */
+    private static final double PROBE_AFTER_REPORTS = 1.4;
+    private static final double LOST_AFTER_REPORTS = 2.2;
+
+    /** Silent machines of a zone, as a share of all, above which the network is at fault rather than each of them. */
+    private static final double LOST_SHARE = 0.25;
+
     private final Board board;
     private final Outside outside;
     private final Leadership leadership;
@@ -229,10 +236,13 @@
     /** What a notice asks for: save what can be saved, and move what has to run elsewhere. */
     private void leave(Machine m, long now) {
         for (Claim c : m.claims.values()) {
+            double ran = c.runningAt == 0 ? 0 : (now - c.runningAt) / 1000.0;
             if (c.job.spec.service()) {
                 board.stop(c, 0, now);
             } else if (c.job.spec.checkpointS() > 0) {
                 board.stop(c, c.job.spec.saveS(), now);
+            } else if (c.job.spec.estimateS() - ran > m.noticeS) {
+                board.stop(c, 0, now); // it would be lost all the same, only later
             }
         }
         nudge(m);
@@ -308,9 +318,13 @@
         }
     }
 
-    /** Asks machines in doubt whether they hear us. */
+    /** Asks machines in doubt whether they hear us, and silent ones whether they are there. */
     void probe() {
         for (Machine m : board.machines.values()) {
+            if (m.spot && m.heard && !m.claims.isEmpty() && !m.deleting && !inFlight.contains(m)
+                    && outside.now() - m.heardAt > PROBE_AFTER_REPORTS * reportMs) {
+                command(m, m.session, List.of(), 1);
+            }
             if (m.unreachedSince != 0 && outside.now() - m.unreachedSince > reportMs / 2 && !m.deleting && !inFlight.contains(m) && !m.addr.isEmpty()) {
                 command(m, m.session, List.of(), 1);
             }
@@ -422,6 +436,31 @@
         events.changed();
     }
 
+    /**
+     * Spot machines with work that were most likely taken without a word: they neither report nor answer. The network
+     * may be at fault when many are silent in one zone, and this node when it could hear nobody for a while.
+     */
+    List<Machine> takenAway(long activeSince) {
+        long now = outside.now();
+        Map<String, int[]> zones = new HashMap<>();
+        List<Machine> silent = new ArrayList<>();
+        for (Machine m : board.machines.values()) {
+            if (!m.heard || m.deleting) {
+                continue;
+            }
+            int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
+            counts[0]++;
+            if (now - Math.max(m.heardAt, activeSince) > LOST_AFTER_REPORTS * reportMs) {
+                counts[1]++;
+                if (m.spot && !m.claims.isEmpty()) {
+                    silent.add(m);
+                }
+            }
+        }
+        silent.removeIf(m -> zones.get(m.zone)[1] > Math.max(1, LOST_SHARE * zones.get(m.zone)[0]));
+        return silent;
+    }
+
     /** True when nothing was heard for longer than reports can take. */
     boolean silent(Machine m) {
         return m.heard && outside.now() - m.heardAt > 2 * reportMs;
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -210,6 +210,7 @@
         long lag = Math.round(board.settings.cloud().listLagS() * 1000);
         long lease = Math.round(board.settings.workers().leaseS() * 1000);
         double spare = settled ? spareCpus() : 0;
+        Set<Machine> taken = settled ? new HashSet<>(fleet.takenAway(since)) : Set.of();
         for (Machine m : board.machines.values()) {
             if (m.deleting) {
                 continue;
@@ -225,6 +226,8 @@
             } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce
                     && quiet > 2 * lag + lease) {
                 why = "nobody knows it";
+            } else if (taken.contains(m)) {
+                why = "it was taken without a word"; // the deletion proves sooner than the lease that its tasks are gone
             } else if (m.heard && m.lapsedSession >= m.session && now - m.heardAt > 3 * lease) {
                 why = "it is silent";
             } else if (m.unreachedSince != 0 && now - m.unreachedSince > 3 * lease && settled) {
