--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -31,7 +31,9 @@
 
     /** Reports come a quarter late at most. */
     private static final double PROBE_AFTER_REPORTS = 1.4;
-    private static final double LOST_AFTER_REPORTS = 2.2;
+
+    /** A worker that can't reach this node comes back by way of the others well before. */
+    private static final double LOST_AFTER_LEASES = 0.55;
 
     /** Silent machines of a zone, as a share of all, above which the network is at fault rather than each of them. */
     private static final double LOST_SHARE = 0.25;
@@ -450,7 +452,7 @@
             }
             int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
             counts[0]++;
-            if (now - Math.max(m.heardAt, activeSince) > LOST_AFTER_REPORTS * reportMs) {
+            if (now - Math.max(m.heardAt, activeSince) > LOST_AFTER_LEASES * leaseMs) {
                 counts[1]++;
                 if (m.spot && !m.claims.isEmpty()) {
                     silent.add(m);
