--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -212,13 +212,16 @@
     /** Whether a machine is the better one of two; a total order, so that the search's order does not matter. */
     boolean better(Job job, Machine m, Machine than) {
         int byImage = m.nearness(job.spec.image()) - than.nearness(job.spec.image());
-        if (byImage != 0) {
+        if (byImage != 0 && needsImage(job, m.type)) {
             return byImage > 0;
         }
         long bySlowdown = Math.round(m.slowdown() / SLOWDOWN_STEP) - Math.round(than.slowdown() / SLOWDOWN_STEP);
         if (bySlowdown != 0) {
             return bySlowdown < 0;
         }
+        if (byImage != 0) {
+            return byImage > 0;
+        }
         if (job.spec.spot() && m.spot != than.spot) {
             return m.spot; // leaves room on ordinary machines for work that may not go elsewhere
         }
