--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -1,5 +1,7 @@
 package stileferry.coordination;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -8,14 +10,21 @@
 
 /**
  * Empties machines that the work no longer needs, so that they can be returned: nothing new starts there, arrays run
- * out, and services move to machines that hold their image, where they start at once. Given up as soon as work waits.
+ * out, and services move to machines that hold their image, where they start at once. As much is given back to the
+ * work as waits.
  */
 final class Consolidation {
     private static final Logger LOG = LoggerFactory.getLogger("consolidation");
 
-    /** Boot times for which nothing may have waited. */
+    /** Boot times for which next to nothing may have waited. */
     private static final double CALM_BOOTS = 1.0;
 
+    /** Share of all CPUs that may be waited for in calm times: with many jobs, one or the other always waits. */
+    private static final double CALM_SHARE = 0.01;
+
+    /** Share of the machines from which one service task each may move in one step. */
+    private static final double MOVING_SHARE = 0.01;
+
     /** A replica runs this long before it is moved: a start that is undone sooner counts for nothing. */
     private static final long MIN_RUN_MS = 35_000;
 
@@ -33,73 +42,99 @@
 
     /** One step, after a regular pass that left these jobs waiting. */
     void step(List<Job> waiting, long now) {
-        if (!waiting.isEmpty()) {
-            calmSince = now;
-            board.machines.values().forEach(m -> m.draining = false);
-            return;
+        double wanted = 0;
+        for (Job job : waiting) {
+            if (board.withinLimit(job)) {
+                wanted += job.waitingCount() * job.spec.cpus();
+            }
         }
-        Machine emptying = null;
+        List<Machine> emptying = new ArrayList<>();
+        List<Machine> others = new ArrayList<>();
+        double all = 0;
+        double free = 0;
         for (Machine m : board.machines.values()) {
             if (m.draining && !m.deleting) {
-                emptying = m;
+                emptying.add(m);
+            } else if (m.usable() && !m.claims.isEmpty()) {
+                all += m.type.cpus();
+                if (!m.spot) {
+                    others.add(m);
+                    free += free(m);
+                }
             }
         }
-        if (emptying != null) {
-            move(emptying, now);
+        if (wanted > CALM_SHARE * all) {
+            calmSince = now;
+        }
+        if (wanted > 0) {
+            giveBack(emptying, wanted);
         } else {
-            choose(now);
+            move(emptying, now);
+            choose(others, free, all, now);
         }
     }
 
-    private void choose(long now) {
-        double free = 0;
-        double all = 0;
-        Machine best = null;
-        for (Machine m : board.machines.values()) {
-            if (!m.usable() || m.claims.isEmpty()) {
-                continue;
-            }
-            all += m.type.cpus();
-            if (!m.spot) {
-                free += m.type.cpus() - m.usedCpus();
-                if (best == null || m.usedCpus() < best.usedCpus()) {
-                    best = m;
-                }
+    private static double free(Machine m) {
+        return m.type.cpus() - m.usedCpus();
+    }
+
+    /** Lets machines be used again, those with most work first, until they have room for what waits. */
+    private void giveBack(List<Machine> emptying, double wanted) {
+        emptying.sort(Comparator.comparingDouble(m -> -m.usedCpus()));
+        double room = 0;
+        for (Machine m : emptying) {
+            if (room >= wanted) {
+                return;
             }
+            m.draining = false;
+            room += free(m);
         }
-        if (best == null || now - calmSince < CALM_BOOTS * 1000 * best.type.bootS()) {
-            return;
-        }
-        double elsewhere = free - (best.type.cpus() - best.usedCpus());
-        double keep = Math.max(best.type.cpus(), all * board.options.number(Options.EMPTY_SHARE));
-        if (elsewhere >= best.usedCpus() + keep) {
-            LOG.info("emptying machine {} with {} tasks, {} CPUs are free elsewhere", best.name, best.claims.size(),
+    }
+
+    /** Chooses the machines with least work, as long as that work fits elsewhere and enough stays free. */
+    private void choose(List<Machine> machines, double freeNow, double all, long now) {
+        machines.sort(Comparator.comparingDouble(Machine::usedCpus).thenComparing(m -> m));
+        double free = freeNow;
+        for (Machine m : machines) {
+            double keep = Math.max(m.type.cpus(), all * board.options.number(Options.EMPTY_SHARE));
+            double elsewhere = free - free(m);
+            if (now - calmSince < CALM_BOOTS * 1000 * m.type.bootS() || elsewhere < m.usedCpus() + keep) {
+                return;
+            }
+            LOG.info("emptying machine {} with {} tasks, {} CPUs are free elsewhere", m.name, m.claims.size(),
                     elsewhere);
-            best.draining = true;
+            m.draining = true;
+            free = elsewhere - m.usedCpus();
+        }
+    }
+
+    /** Moves one service task of a machine at a time, once only services are left there. */
+    private void move(List<Machine> emptying, long now) {
+        int moves = 1 + (int) (board.machines.size() * MOVING_SHARE);
+        for (Machine from : emptying) {
+            Claim next = moves == 0 ? null : next(from, now);
+            if (next != null && elsewhere(next, from, now)) {
+                mover.accept(next);
+                moves--;
+            }
         }
     }
 
-    /** Moves one service task at a time, once only services are left. */
-    private void move(Machine from, long now) {
+    private static Claim next(Machine from, long now) {
         Claim next = null;
         for (Claim c : from.claims.values()) {
             if (!c.job.spec.service() || c.stopping() || c.runningAt == 0 || now - c.runningAt < MIN_RUN_MS) {
-                return;
+                return null;
             }
             next = c;
         }
-        if (next != null && elsewhere(next, from, now)) {
-            mover.accept(next);
-        }
+        return next;
     }
 
     private boolean elsewhere(Claim claim, Machine from, long now) {
-        for (Machine m : board.machines.values()) {
-            if (m != from && m.hasImage(claim.job.spec.image()) && placement.allowed(claim.job, m, now)
-                    && m.hasRoom(claim.job)) {
-                return true;
-            }
-        }
-        return false;
+        boolean[] found = new boolean[1];
+        board.rooms.atLeast(claim.job.spec.cpus(), m -> found[0] |= m != from
+                && m.hasImage(claim.job.spec.image()) && m.hasRoom(claim.job) && placement.allowed(claim.job, m, now));
+        return found[0];
     }
 }
