--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -447,11 +447,12 @@
         Map<String, int[]> zones = new HashMap<>();
         List<Machine> silent = new ArrayList<>();
         for (Machine m : board.machines.values()) {
-            if (!m.heard || m.deleting) {
+            if (m.type == null || m.deleting || m.booting) {
                 continue;
             }
             int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
             counts[0]++;
+            // a new leader has heard nobody; who does not come in time was taken before or while it took over
             if (now - Math.max(m.heardAt, activeSince) > LOST_AFTER_LEASES * leaseMs) {
                 counts[1]++;
                 if (m.spot && !m.claims.isEmpty()) {
--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -1,10 +1,13 @@
 package stileferry.coordination;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.MachineType;
 
 class ProvisioningTest {
     /**
@@ -32,4 +35,36 @@
         provisioning.returnMachines(true);
         assertTrue(board.machine("host-000099").deleting, "what neither list nor report shows must end some day");
     }
+
+    /**
+     * Found on a day where a wave of losses met a crash: the new leader waited a whole lease from its own beginning for
+     * machines that were gone. And when a zone is cut off, silence says nothing about each machine there.
+     */
+    @Test
+    void aNewLeaderGivesUpSpotMachinesThatDoNotReport() {
+        World w = new World(2);
+        World.Node node = w.nodes.get("n0");
+        node.start();
+        Board board = new Board(node.settings);
+        Fleet fleet = new Fleet(board, node.outside, null, 1, null);
+        MachineType box = new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za"));
+        Job job = new Job(new JobSpec("job-1", "any", "red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 9, 1, 0, 1, "img",
+                1, null, null, false, false, true, 10, 0, 0, -1), 1, 0, 0);
+        for (int i = 0; i < 8; i++) {
+            Machine m = board.machine("host-" + i);
+            m.type = box;
+            m.spot = true;
+            board.setZone(m, "za");
+            board.add(new Claim(job, i, 1, m.name, 1, 0));
+        }
+        long since = node.outside.now();
+        w.play(7); // more than half a lease
+        for (int i = 1; i < 8; i++) {
+            board.machine("host-" + i).heard = true;
+            board.machine("host-" + i).heardAt = node.outside.now();
+        }
+        assertEquals(List.of(board.machine("host-0")), fleet.takenAway(since));
+        w.play(7);
+        assertEquals(List.of(), fleet.takenAway(since), "nobody reports: the network is at fault");
+    }
 }
