--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -45,8 +45,9 @@
         World w = new World(2);
         World.Node node = w.nodes.get("n0");
         node.start();
+        World.SimOutside outside = node.outside;
         Board board = new Board(node.settings);
-        Fleet fleet = new Fleet(board, node.outside, null, 1, null);
+        Fleet fleet = new Fleet(board, outside, null, 1, null);
         MachineType box = new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za"));
         Job job = new Job(new JobSpec("job-1", "any", "red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 9, 1, 0, 1, "img",
                 1, null, null, false, false, true, 10, 0, 0, -1), 1, 0, 0);
@@ -57,11 +58,11 @@
             board.setZone(m, "za");
             board.add(new Claim(job, i, 1, m.name, 1, 0));
         }
-        long since = node.outside.now();
+        long since = outside.now();
         w.play(7); // more than half a lease
         for (int i = 1; i < 8; i++) {
             board.machine("host-" + i).heard = true;
-            board.machine("host-" + i).heardAt = node.outside.now();
+            board.machine("host-" + i).heardAt = outside.now();
         }
         assertEquals(List.of(board.machine("host-0")), fleet.takenAway(since));
         w.play(7);
