--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -131,7 +131,12 @@
     public void user(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
         long since = outside.now();
         pass(ask, id, body, answer -> {
-            counters.count(ask, answer.status(), outside.now() - since);
+            long took = outside.now() - since;
+            counters.count(ask, answer.status(), took);
+            if (ask == PeerRecord.Ask.SUBMIT) {
+                LOG.debug("a submission was answered {} after {} ms, led by {}", answer.status(), took,
+                        leadership.leader());
+            }
             reply.accept(answer);
         });
     }
