--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -22,6 +22,9 @@
     /** Share of all CPUs that may be waited for in calm times: with many jobs, one or the other always waits. */
     private static final double CALM_SHARE = 0.01;
 
+    /** Share of the machines that are emptied at the same time: each holds images that are missed. */
+    private static final double EMPTYING_SHARE = 0.04;
+
     /** Share of the machines from which one service task each may move in one step. */
     private static final double MOVING_SHARE = 0.01;
 
@@ -70,7 +73,7 @@
             giveBack(emptying, wanted);
         } else {
             move(emptying, now);
-            choose(others, free, all, now);
+            choose(others, 1 + (int) (board.machines.size() * EMPTYING_SHARE) - emptying.size(), free, all, now);
         }
     }
 
@@ -92,10 +95,10 @@
     }
 
     /** Chooses the machines with least work, as long as that work fits elsewhere and enough stays free. */
-    private void choose(List<Machine> machines, double freeNow, double all, long now) {
+    private void choose(List<Machine> machines, int most, double freeNow, double all, long now) {
         machines.sort(Comparator.comparingDouble(Machine::usedCpus).thenComparing(m -> m));
         double free = freeNow;
-        for (Machine m : machines) {
+        for (Machine m : machines.subList(0, Math.max(0, Math.min(most, machines.size())))) {
             double keep = Math.max(m.type.cpus(), all * board.options.number(Options.EMPTY_SHARE));
             double elsewhere = free - free(m);
             if (now - calmSince < CALM_BOOTS * 1000 * m.type.bootS() || elsewhere < m.usedCpus() + keep) {
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -29,6 +29,9 @@
     private static final long LAPSE_SLACK_MS = 500;
     private static final long GREET_MS = 100;
 
+    /** Greetings at a time on a small fleet, which must not wait for what only a large one needs. */
+    private static final int LEAST_GREETINGS = 10;
+
     /** Reports come a quarter late at most. */
     private static final double PROBE_AFTER_REPORTS = 1.4;
 
@@ -307,7 +310,7 @@
     }
 
     private void greetSome() {
-        int some = 1 + (int) (board.machines.size() * GREET_MS / (2 * reportMs));
+        int some = LEAST_GREETINGS + (int) (board.machines.size() * GREET_MS / (2 * reportMs));
         while (!closed && some > 0 && !greetings.isEmpty()) {
             Machine m = greetings.poll();
             if (!m.heard && !m.deleting) {
