--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -23,7 +23,7 @@
     private static final double CALM_SHARE = 0.01;
 
     /** Share of the machines that are emptied at the same time: each holds images that are missed. */
-    private static final double EMPTYING_SHARE = 0.04;
+    private static final double EMPTYING_SHARE = 0.03;
 
     /** Share of the machines from which one service task each may move in one step. */
     private static final double MOVING_SHARE = 0.01;
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -463,7 +463,7 @@
                 }
             }
         }
-        silent.removeIf(m -> zones.get(m.zone)[1] > Math.max(1, LOST_SHARE * zones.get(m.zone)[0]));
+        silent.removeIf(m -> zones.get(m.zone)[1] > Math.max(2, LOST_SHARE * zones.get(m.zone)[0]));
         return silent;
     }
 
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -19,6 +19,9 @@
     /** Machines looked at in one turn, as a multiple of all. */
     private static final int LOOKS_PER_MACHINE = 6;
 
+    /** Looks that cost little whatever the size, so that a small fleet decides for all jobs in each turn. */
+    private static final int LEAST_LOOKS = 2000;
+
     /** The first task of a job that had waited too long runs for so long before it may be stopped. */
     private static final long OVERDUE_RUN_MS = 30_000;
 
@@ -47,7 +50,7 @@
         board.stopping.forEach(c -> give(going, c));
         Map<String, double[]> promised = new HashMap<>(); // cpus, gpus, memory kept for earlier waiting tasks
         Map<List<Object>, Placement.Misfits> misfits = new HashMap<>();
-        looksLeft = LOOKS_PER_MACHINE * board.machines.size() + LOOKS_PER_MACHINE;
+        looksLeft = LOOKS_PER_MACHINE * board.machines.size() + LEAST_LOOKS;
         for (Job job : waiting) {
             if (looksLeft <= 0) {
                 break; // the rest in a later turn
