Ends of claims outlive the records that hold the claims, also when a record is lost

Found by reading the ring's design again: records commit in any order. When record n was lost in a crash and n+1 was not, the slot of n went on holding a record older than the ring, while n+1 had given up the ends of its claims; a new leader took them for standing and would repeat their starts. Now ends are given up only when every older record certainly is, and a record older than the ring is copied before anything else. Also: a job that goes first because it has not begun does so with one task, in the same pass too.

--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -325,12 +325,12 @@
 
     /** Asks machines in doubt whether they hear us, and silent ones whether they are there. */
     void probe() {
+        long now = outside.now();
         for (Machine m : board.machines.values()) {
-            if (m.spot && m.heard && !m.claims.isEmpty() && !m.deleting && !inFlight.contains(m)
-                    && outside.now() - m.heardAt > PROBE_AFTER_REPORTS * reportMs) {
-                command(m, m.session, List.of(), 1);
-            }
-            if (m.unreachedSince != 0 && outside.now() - m.unreachedSince > reportMs / 2 && !m.deleting && !inFlight.contains(m) && !m.addr.isEmpty()) {
+            boolean doubtful = m.unreachedSince != 0 && now - m.unreachedSince > reportMs / 2;
+            boolean silent = m.spot && m.heard && !m.claims.isEmpty()
+                    && now - m.heardAt > PROBE_AFTER_REPORTS * reportMs;
+            if ((doubtful || silent) && !m.deleting && !m.addr.isEmpty() && !inFlight.contains(m)) {
                 command(m, m.session, List.of(), 1);
             }
         }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -326,6 +325,7 @@
         long now = outside.now();
         boolean done = t.why().equals("done") && !job.spec.service();
         machine.settling.add(t.key());
+        job.begun |= done || t.why().equals("error");
         if (claim.orderedAt > 0 && claim.runningAt > 0) {
             LOG.debug("{} of {} exited on {}: {}, ordered {} ms after its job, running {} ms later, for {} ms",
                     claim.name, job.spec.jobClass(), machine.name, t.why(),
@@ -578,7 +578,8 @@
         }
         long behindS = behindS();
         if (behindS > 0) { // it would only wait, and everything behind it
-            reply.accept(new PeerRecord.Answer(503, (int) behindS, Wire.encode(Messages.error("too much to do, try again"))));
+            reply.accept(new PeerRecord.Answer(503, (int) behindS,
+                    Wire.encode(Messages.error("too much to do, try again"))));
             return;
         }
         lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
@@ -705,7 +706,7 @@
 
     private void cancel(Job job) {
         job.cancelled = true;
-        for (Claim claim : Set.copyOf(new HashSet<>(job.claims.values()))) {
+        for (Claim claim : List.copyOf(job.claims.values())) {
             if (claim.runsSent == 0) {
                 board.remove(claim, false); // no machine has heard of it
                 ledger.log(TaskEvents.freed(claim), null);
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -78,7 +78,8 @@
 
     /** True for a job that waits too long for its first task: it goes before all others, with that task only. */
     boolean overdue(Job job, long timeOfDay) {
-        return !job.begun && job.claims.isEmpty() && timeOfDay - job.acceptedAt > 1000 * board.options.number(Options.BEGIN_WITHIN_S);
+        return !job.begun && job.claims.isEmpty()
+                && timeOfDay - job.acceptedAt > 1000 * board.options.number(Options.BEGIN_WITHIN_S);
     }
 
     /** Jobs with a task that waits, in queue order. */
@@ -113,6 +114,7 @@
         Misfits misfits = new Misfits();
         int left = queue.size();
         int starts = 0;
+        boolean again = false;
         Job keptFor = null;
         Machine kept = null;
         while (left > 0 && starts < STARTS_A_TURN) {
@@ -142,9 +144,11 @@
             }
             List<Machine> machines = pick.spec.gang() ? chooseAll(pick, usable, now) : chooseOne(pick, usable, now);
             if (!machines.isEmpty()) {
+                boolean first = overdue(pick, timeOfDay);
                 start.accept(pick, machines);
                 starts += machines.size();
-                if (pick.nextWaiting(now) < 0) {
+                again |= first; // the rest of it in its usual place, in another pass
+                if (first || pick.nextWaiting(now) < 0) {
                     queue.remove(at);
                     open.remove(at);
                     System.arraycopy(ranks, at + 1, ranks, at, ranks.length - at - 1);
@@ -164,7 +168,7 @@
                 }
             }
         }
-        cutShort = left > 0;
+        cutShort = left > 0 || again;
         return queue;
     }
 
--- a/src/main/java/stileferry/coordination/TaskEvents.java
+++ b/src/main/java/stileferry/coordination/TaskEvents.java
@@ -55,6 +55,11 @@
         public Ledger.Event kept(long record) {
             return claim.record == record && claim.job.claims.get(claim.index) == claim ? this : null;
         }
+
+        @Override
+        public boolean ends() {
+            return false;
+        }
     }
 
     /** Needed only while an older record holds the claim, and older records are given up first. */
@@ -76,6 +81,11 @@
         public Ledger.Event kept(long record) {
             return null;
         }
+
+        @Override
+        public boolean ends() {
+            return true;
+        }
     }
 
     private record Done(Job job, int from, int to) implements Ledger.Event {
@@ -94,6 +104,11 @@
             job.doneRecord(from, to, (int) record);
         }
 
+        @Override
+        public boolean ends() {
+            return false; // said again for as long as its job lives
+        }
+
         /** Together with its neighbours that are done by now, so that a long job takes ever fewer events. */
         @Override
         public Ledger.Event kept(long record) {
@@ -135,6 +150,7 @@
                         if (claim != null && claim.attempt == e.path(3).asLong()) {
                             of(job).remove(index);
                         }
+                        events.add(new Freed(job, index, e.path(3).asLong()));
                     }
                     case DONE -> events.add(done(job, index, Math.min(e.path(3).asInt(), job.spec.tasks() - 1),
                             number));
--- a/src/main/java/stileferry/storage/EventLog.java
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -32,6 +32,7 @@
     private final int mostBytes;
     private int pendingBytes;
     private long lastNumber;
+    private boolean restored;
 
     /** One record as it is stored, with what it holds. */
     static final class Slot {
@@ -48,8 +49,9 @@
 
     private record Pending(Ledger.Event event, Runnable onDurable) {}
 
-    /** What one transaction writes of the log. */
-    public record Batch(Ledger.Entry put, List<Ledger.Entry> deletions, int bytes, List<Runnable> actions) {}
+    /** What one transaction writes of the log, and whether the record it gives up held ends of claims. */
+    public record Batch(Ledger.Entry put, List<Ledger.Entry> deletions, int bytes, List<Runnable> actions,
+            boolean endsGivenUp) {}
 
     /** A ring of so many records within the service's value limit. */
     public EventLog(double valueKb, int records) {
@@ -59,6 +61,7 @@
 
     /** Takes a stored record in. */
     public void restore(String key, long revision, long number, List<Ledger.Event> events) {
+        restored = true;
         Slot slot = new Slot(key, revision, number);
         slot.events = events;
         lastNumber = Math.max(lastNumber, number);
@@ -70,6 +73,20 @@
         }
     }
 
+    /**
+     * Records commit in any order, so the last leader may have left one that a lost record should have replaced. It is
+     * older than the whole ring and has to go before anything of the ring: what ended its claims must outlive it.
+     */
+    private void sweep() {
+        for (int i = 0; restored && i < slots.length; i++) {
+            if (slots[i] != null && slots[i].number <= lastNumber - slots.length) {
+                older.add(slots[i]);
+                slots[i] = null;
+            }
+        }
+        restored = false;
+    }
+
     private int at(String key) {
         try {
             int at = key.startsWith(PREFIX) ? Integer.parseInt(key.substring(PREFIX.length())) : -1;
@@ -87,6 +104,7 @@
 
     /** Whether anything waits to be written. */
     public boolean waits() {
+        sweep();
         return !pending.isEmpty() || !older.isEmpty();
     }
 
@@ -97,14 +115,16 @@
 
     /** The next record, in a transaction that has room for so many changes; null when the ring has to wait. */
     public Batch next(int changes) {
+        sweep();
         int at = (int) ((lastNumber + 1) % slots.length);
         Slot slot = slots[at];
         if (slot == null) {
             slot = new Slot(PREFIX + at, 0, 0);
             slots[at] = slot;
-        } else if (slot.entry.flying()) {
+        } else if (slot.entry.flying() || holdsEnds(slot) && anyFlyingBefore(at)) {
             return null;
         }
+        boolean endsGivenUp = holdsEnds(slot);
         long number = ++lastNumber;
         List<Ledger.Event> events = new ArrayList<>();
         int bytes = keep(slot.number, slot.events, number, events, ROW_BYTES);
@@ -133,7 +153,22 @@
         slot.number = number;
         slot.events = events;
         slot.value = value;
-        return new Batch(slot.entry, deletions, bytes, actions);
+        return new Batch(slot.entry, deletions, bytes, actions, endsGivenUp);
+    }
+
+    private static boolean holdsEnds(Slot slot) {
+        return slot.events.stream().anyMatch(Ledger.Event::ends);
+    }
+
+    /** Ends may only be given up when every older record certainly is: it might hold what they end. */
+    private boolean anyFlyingBefore(int at) {
+        for (int back = 1; back <= Math.min(Ledger.MAX_IN_FLIGHT, slots.length - 1); back++) {
+            Slot before = slots[Math.floorMod(at - back, slots.length)];
+            if (before != null && before.entry.flying()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private static int keep(long oldNumber, List<Ledger.Event> held, long number, List<Ledger.Event> events,
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -22,7 +22,7 @@
 public final class Ledger {
     private static final Logger LOG = LoggerFactory.getLogger("ledger");
 
-    private static final int MAX_IN_FLIGHT = 8;
+    static final int MAX_IN_FLIGHT = 8;
 
     /** Changes that any transaction may hold: a record of events, and one key put while another is deleted. */
     private static final int LEAST_CHANGES = 3;
@@ -59,6 +59,9 @@
 
         /** What has to be written again when this record is given up; null: nothing. */
         Event kept(long record);
+
+        /** Whether it ends what an older record may hold. */
+        boolean ends();
     }
 
     /** One key; its value is made anew from the owner's state whenever it is written. */
--- a/src/test/java/stileferry/coordination/TaskEventsTest.java
+++ b/src/test/java/stileferry/coordination/TaskEventsTest.java
@@ -105,6 +105,15 @@
                 }
                 Map<String, Job> copy = jobs(8, 60);
                 EventLog next = r.nextInt(50) == 0 ? new EventLog(VALUE_KB, 8) : null;
+                if (next != null && r.nextBoolean()) {
+                    // the last but one record of the old leader is lost, and its slot keeps what it held before
+                    EventLog.Batch lost = log.next(12);
+                    assertTrue(lost.deletions().isEmpty());
+                    EventLog.Batch last = log.next(12);
+                    if (!last.endsGivenUp()) { // else it waits until the one before is durable
+                        store.put(last.put().key(), Wire.decode(Wire.encode(last.put().value())));
+                    }
+                }
                 TaskEvents.Reader reader = read(store, copy, next);
                 List<Claim> claims = new ArrayList<>();
                 jobs.values().forEach(j -> claims.addAll(j.claims.values()));
