A controller's main thread reads nothing once its IO thread does

Ruled out: an address made by our code, memory, the class archive. Now the IO thread does all of the start, and the main thread waits without loading a class.

--- a/src/main/java/stileferry/Controller.java
+++ b/src/main/java/stileferry/Controller.java
@@ -1,12 +1,14 @@
 package stileferry;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import stileferry.protocol.Settings;
 import stileferry.transport.Node;
 
 /** One controller, for programs that embed it and for the daemon. */
 public final class Controller implements AutoCloseable {
     private final Settings settings;
+    private final CountDownLatch closed = new CountDownLatch(1);
     private Node node;
 
     private Controller(Settings settings) {
@@ -44,7 +46,7 @@
         if (node != null) {
             throw new IllegalStateException("started already");
         }
-        node = new Node(settings);
+        node = Node.open(settings);
     }
 
     /** Closes the addresses and stops all work; what is durable stays. */
@@ -54,5 +56,11 @@
             node.close();
             node = null;
         }
+        closed.countDown();
+    }
+
+    /** Waits until the controller is closed. */
+    public void awaitClosed() throws InterruptedException {
+        closed.await();
     }
 }
--- a/src/main/java/stileferry/cli/Main.java
+++ b/src/main/java/stileferry/cli/Main.java
@@ -19,15 +19,12 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    /** Runs a command and ends the process with its exit code, unless a server stays up. */
+    /** Runs a command and ends the process with its exit code. */
     public static void main(String[] args) {
         // Read when the first logger is made, so it has to be set before any other class loads.
         System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s - %5$s%6$s%n");
         LogLevel.start(System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT));
-        int code = commandLine().execute(args);
-        if (code != Serve.STAYS_UP) {
-            System.exit(code);
-        }
+        System.exit(commandLine().execute(args));
     }
 
     /** The commands, with errors of one line. */
--- a/src/main/java/stileferry/cli/Serve.java
+++ b/src/main/java/stileferry/cli/Serve.java
@@ -14,9 +14,6 @@
         mixinStandardHelpOptions = true,
         footer = {"", "Example: stileferry serve --config node.json"})
 final class Serve implements Callable<Integer> {
-    /** The exit code that leaves the process running. */
-    static final int STAYS_UP = -1;
-
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, as JSON.")
     private Path config;
 
@@ -28,11 +25,13 @@
             return 2;
         }
         try {
-            Controller.builder().settings(read.settings()).build().start();
+            Controller controller = Controller.builder().settings(read.settings()).build();
+            controller.start();
+            controller.awaitClosed(); // this thread reads nothing any more, see Node
+            return 0;
         } catch (java.io.IOException | RuntimeException e) {
             System.err.println("stileferry: can't start: " + (e.getCause() == null ? e : e.getCause()));
             return 1;
         }
-        return STAYS_UP;
     }
 }
--- a/src/main/java/stileferry/cli/StandIns.java
+++ b/src/main/java/stileferry/cli/StandIns.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import stileferry.transport.StandInHost;
@@ -27,12 +28,13 @@
     private int port;
 
     @Override
-    public Integer call() throws IOException {
+    public Integer call() throws IOException, InterruptedException {
         Files.createDirectories(dir);
         start(port, dir);
         System.out.println("stand-ins run; start controllers with: serve --config " + dir.resolve("node-0.json")
                 + " (and node-1.json, node-2.json)");
-        return Serve.STAYS_UP;
+        new CountDownLatch(1).await(); // until the process is killed
+        return 0;
     }
 
     /** Starts stand-ins and writes the settings files of the controllers that fit them. */
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -5,6 +5,8 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import org.xnio.Options;
 import stileferry.coordination.Coordinator;
 import stileferry.protocol.Settings;
@@ -20,9 +22,27 @@
     private final Undertow users;
     private final Undertow peers;
 
-    /** Opens the addresses and begins to work. */
-    public Node(Settings settings) throws IOException {
-        loop = new Loop(settings.maxSockets() / 8);
+    /**
+     * Opens the addresses and begins to work. All of it is done by the IO thread, while the caller waits: seen on
+     * simulated machines, where the places of system calls are rewritten while the process runs, one thread that loaded
+     * classes from the jar while another read from its sockets ended the runtime within libc's read.
+     */
+    public static Node open(Settings settings) throws IOException {
+        Loop loop = new Loop(settings.maxSockets() / 8);
+        FutureTask<Node> opening = new FutureTask<>(() -> new Node(settings, loop));
+        loop.thread.execute(opening);
+        try {
+            return opening.get();
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getCause() == null ? e.getCause() : e.getCause().getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting");
+        }
+    }
+
+    private Node(Settings settings, Loop loop) {
+        this.loop = loop;
         owner = new Owner(loop.thread);
         outside = new NetworkOutside(owner, loop);
         Coordinator coordinator = new Coordinator(settings, outside);
