Sockets are divided in shares below the whole; kept connections end before the limit

Cause: at one and a half times the fleet's size a controller had 2,068 connections open, the limit for users and workers together was 2,055 of 2,740, and the shares added up to more than all sockets. Past the limit nobody could connect. Now users' connections end with their answers above three quarters of the limit, workers' just below it; dead connections are closed after four report intervals instead of 60 s; requests passed on to a controller that stands still are bounded; greetings and probes together take half of the commands' share and go on as answers come.

--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -29,6 +29,12 @@
     private static final long LAPSE_SLACK_MS = 500;
     private static final long GREET_MS = 100;
 
+    /** A question without a task in it waits for so many report intervals: many may be asked that can't answer. */
+    private static final double ASK_REPORTS = 0.25;
+
+    /** At least this long, as packets get lost. */
+    private static final long LEAST_ASK_MS = 1000;
+
     /** Greetings at a time on a small fleet, which must not wait for what only a large one needs. */
     private static final int LEAST_GREETINGS = 10;
 
@@ -49,9 +55,11 @@
     private final long reportMs;
     private final long leaseMs;
     private final long cancelMs;
+    private final long askMs;
     private final int maxInFlight;
     private final ArrayDeque<Machine> greetings = new ArrayDeque<>();
     private final Set<Machine> nudged = new LinkedHashSet<>();
+    private final Set<Machine> toAsk = new LinkedHashSet<>();
     private final Set<Machine> inFlight = new LinkedHashSet<>();
     private boolean closed;
 
@@ -75,7 +83,8 @@
         this.events = events;
         this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
         this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
-        this.maxInFlight = Math.max(1, board.settings.maxSockets() / 16);
+        this.maxInFlight = board.settings.sockets().commands();
+        this.askMs = Math.max(LEAST_ASK_MS, Math.round(reportMs * ASK_REPORTS));
         this.cancelMs = Math.round(board.settings.workers().cancelS() * 1000);
     }
 
@@ -311,7 +320,7 @@
 
     private void greetSome() {
         int some = LEAST_GREETINGS + (int) (board.machines.size() * GREET_MS / (2 * reportMs));
-        while (!closed && some > 0 && !greetings.isEmpty()) {
+        while (!closed && some > 0 && !greetings.isEmpty() && mayAsk()) {
             Machine m = greetings.poll();
             if (!m.heard && !m.deleting) {
                 some--;
@@ -323,7 +332,12 @@
         }
     }
 
-    /** Asks machines in doubt whether they hear us, and silent ones whether they are there. */
+    /** Questions to machines that may not answer leave room for commands to those that do. */
+    private boolean mayAsk() {
+        return inFlight.size() < Math.max(1, maxInFlight / 2);
+    }
+
+    /** Notes machines in doubt, to be asked whether they hear us, and silent ones, whether they are there. */
     void probe() {
         long now = outside.now();
         for (Machine m : board.machines.values()) {
@@ -331,14 +345,18 @@
             boolean silent = m.spot && m.heard && !m.claims.isEmpty()
                     && now - m.heardAt > PROBE_AFTER_REPORTS * reportMs;
             if ((doubtful || silent) && !m.deleting && !m.addr.isEmpty() && !inFlight.contains(m)) {
-                command(m, m.session, List.of(), 1);
+                toAsk.add(m);
             }
         }
     }
 
     /** Sends what was wanted since the last turn; machines not heard lately get it in answer to their reports. */
     void send() {
-        if (nudged.isEmpty() || closed || !leadership.sure()) {
+        if (closed || !leadership.sure()) {
+            return;
+        }
+        ask();
+        if (nudged.isEmpty()) {
             return;
         }
         for (Machine m : List.copyOf(nudged)) {
@@ -354,7 +372,18 @@
             }
             List<Signal> signals = signals(m, false);
             if (!signals.isEmpty()) {
-                command(m, m.session, signals, 1);
+                command(m, m.session, signals, 1, reportMs);
+            }
+        }
+    }
+
+    /** Asks machines as answers come: after a change of leader, or a cut, all of them may be in doubt at once. */
+    private void ask() {
+        while (!toAsk.isEmpty() && mayAsk()) {
+            Machine m = toAsk.iterator().next();
+            toAsk.remove(m);
+            if (!m.deleting && !inFlight.contains(m)) {
+                command(m, m.session, List.of(), 1, askMs);
             }
         }
     }
@@ -366,13 +395,13 @@
             for (Claim c : m.claims.values()) {
                 session = Math.max(session, c.session);
             }
-            command(m, session, List.of(), 2);
+            command(m, session, List.of(), 2, askMs);
         }
     }
 
-    private void command(Machine m, long session, List<Signal> signals, int tries) {
+    private void command(Machine m, long session, List<Signal> signals, int tries, long timeoutMs) {
         inFlight.add(m);
-        outside.call(m.addr, "POST", "/commands", Messages.commands(term, session, signals), reportMs,
+        outside.call(m.addr, "POST", "/commands", Messages.commands(term, session, signals), timeoutMs,
                 (status, body) -> {
                     inFlight.remove(m);
                     if (closed) {
@@ -396,7 +425,7 @@
                     m.unreachedSince = 0; // it has heard this
                     take(m, r, false);
                     if (status == 409 && tries > 1 && r.session() != session) {
-                        command(m, r.session(), List.of(), tries - 1);
+                        command(m, r.session(), List.of(), tries - 1, timeoutMs);
                     }
                 });
     }
--- a/src/main/java/stileferry/protocol/Settings.java
+++ b/src/main/java/stileferry/protocol/Settings.java
@@ -38,6 +38,11 @@
     /** The cloud's limits. */
     public record Cloud(double rps, double listLagS) {}
 
+    /** How the sockets are divided. */
+    public Sockets sockets() {
+        return Sockets.of(maxSockets);
+    }
+
     /** Finds a team by its name, or null. */
     public Team team(String name) {
         for (Team team : teams) {
--- /dev/null
+++ b/src/main/java/stileferry/protocol/Sockets.java
@@ -0,0 +1,38 @@
+package stileferry.protocol;
+
+/**
+ * How a controller divides its sockets, so that no use can starve another. The shares add up to less than the whole;
+ * what is left serves the state service, the cloud and the servers themselves.
+ *
+ * @param incoming connections of users, workers and health checks
+ * @param peers connections of the other controllers
+ * @param idle connections to workers and others that are kept for the next request
+ * @param commands commands to workers in progress
+ * @param forwards requests passed on to one other controller in progress
+ */
+public record Sockets(int incoming, int peers, int idle, int commands, int forwards) {
+    /** Of the incoming connections: above this share users' connections end with their answers. */
+    private static final double CROWDED = 0.75;
+
+    /** Above this share workers' connections do too. */
+    private static final double FULL = 0.95;
+
+    /** Divides so many. */
+    public static Sockets of(int max) {
+        return new Sockets(max * 25 / 32, share(max, 16), share(max, 16), share(max, 16), share(max, 32));
+    }
+
+    private static int share(int max, int part) {
+        return Math.max(1, max / part);
+    }
+
+    /** Whether a user's connection has to end with its answer when so many are open. */
+    public boolean crowded(long open) {
+        return open > incoming * CROWDED;
+    }
+
+    /** Whether a worker's connection has to end with its answer when so many are open. */
+    public boolean full(long open) {
+        return open > incoming * FULL;
+    }
+}
--- a/src/main/java/stileferry/transport/NetworkOutside.java
+++ b/src/main/java/stileferry/transport/NetworkOutside.java
@@ -1,6 +1,8 @@
 package stileferry.transport;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -21,9 +23,14 @@
     private final XnioIoThread thread;
     private final HttpCaller http;
     private final RandomGenerator random = new SplittableRandom();
+    private final int mostForwards;
+
+    /** Requests that were passed on to a controller and have no answer yet, by its address. */
+    private final Map<String, Integer> forwards = new HashMap<>();
     private volatile boolean closed;
 
-    NetworkOutside(Owner owner, Loop loop) {
+    NetworkOutside(Owner owner, Loop loop, int mostForwards) {
+        this.mostForwards = mostForwards;
         this.owner = owner;
         this.thread = loop.thread;
         this.http = loop.http;
@@ -68,7 +75,20 @@
 
     @Override
     public void peer(Settings.Peer peer, PeerRecord record, long timeoutMs, Consumer<PeerRecord> reply) {
+        boolean forward = record instanceof PeerRecord.Forward;
+        if (forward && forwards.getOrDefault(peer.addr(), 0) >= mostForwards) {
+            owner.submit(() -> reply.accept(null)); // a controller that stands still must not take all sockets
+            return;
+        }
+        if (forward) {
+            forwards.merge(peer.addr(), 1, Integer::sum);
+        }
         http.call(peer.addr(), "POST", PEER_PATH, PeerRecord.write(record), timeoutMs, (status, bytes) ->
-                owner.submit(() -> reply.accept(status == 200 ? PeerRecord.read(bytes) : null)));
+                owner.submit(() -> {
+                    if (forward) {
+                        forwards.merge(peer.addr(), -1, Integer::sum);
+                    }
+                    reply.accept(status == 200 ? PeerRecord.read(bytes) : null);
+                }));
     }
 }
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.ConnectorStatistics;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -10,17 +11,23 @@
 import org.xnio.Options;
 import stileferry.coordination.Coordinator;
 import stileferry.protocol.Settings;
+import stileferry.protocol.Sockets;
 
 /** One controller's sockets: both servers and the client share one worker with one IO thread. */
 public final class Node implements AutoCloseable {
-    /** Connections that say nothing for this long are closed; users poll every 5 s, workers report more often. */
-    private static final int IDLE_MS = 60_000;
+    /** Report intervals without a word after which a connection is closed: its machine is gone or took another way. */
+    private static final double IDLE_REPORTS = 4;
+
+    /** At least this long: users ask again within some seconds. */
+    private static final int LEAST_IDLE_MS = 20_000;
 
     private final Loop loop;
     private final Owner owner;
     private final NetworkOutside outside;
     private final Undertow users;
     private final Undertow peers;
+    private final int idleMs;
+    private ConnectorStatistics statistics;
 
     /**
      * Opens the addresses and begins to work. All of it is done by the IO thread, while the caller waits: seen on
@@ -28,7 +35,7 @@
      * classes from the jar while another read from its sockets ended the runtime within libc's read.
      */
     public static Node open(Settings settings) throws IOException {
-        Loop loop = new Loop(settings.maxSockets() / 8);
+        Loop loop = new Loop(settings.sockets().idle());
         FutureTask<Node> opening = new FutureTask<>(() -> new Node(settings, loop));
         loop.thread.execute(opening);
         try {
@@ -43,16 +50,19 @@
 
     private Node(Settings settings, Loop loop) {
         this.loop = loop;
+        idleMs = (int) Math.max(LEAST_IDLE_MS, IDLE_REPORTS * 1000 * settings.workers().reportS());
+        Sockets sockets = settings.sockets();
         owner = new Owner(loop.thread);
-        outside = new NetworkOutside(owner, loop);
+        outside = new NetworkOutside(owner, loop, sockets.forwards());
         Coordinator coordinator = new Coordinator(settings, outside);
         owner.afterBatch(coordinator::endOfBatch);
-        peers = server(settings.peerListen(), settings.maxSockets() / 8, new PeerServer(owner, coordinator));
-        users = server(settings.clientListen(), settings.maxSockets() * 3 / 4,
-                new UserServer(owner, coordinator, UserLimit.create()));
+        peers = server(settings.peerListen(), sockets.peers(), new PeerServer(owner, coordinator));
+        users = server(settings.clientListen(), sockets.incoming(),
+                new UserServer(owner, coordinator, UserLimit.create(), sockets, this::openConnections));
         try {
             peers.start();
             users.start();
+            statistics = users.getListenerInfo().get(0).getConnectorStatistics();
         } catch (RuntimeException e) {
             close(); // the other address and the threads must not outlive a failed start
             throw e;
@@ -65,9 +75,10 @@
                 .setWorker(loop.worker)
                 .setByteBufferPool(loop.buffers)
                 .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
-                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MS)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, IDLE_MS / 4)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMs)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, idleMs / 4)
+                .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, true)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, connections)
@@ -78,6 +89,11 @@
                 .build();
     }
 
+    /** Connections of users, workers and health checks that are open now. */
+    private long openConnections() {
+        return statistics.getActiveConnections();
+    }
+
     @Override
     public void close() {
         owner.close();
--- a/src/main/java/stileferry/transport/UserServer.java
+++ b/src/main/java/stileferry/transport/UserServer.java
@@ -9,11 +9,14 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.xnio.IoUtils;
 import stileferry.coordination.Coordinator;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.PeerRecord.Ask;
+import stileferry.protocol.Sockets;
 import stileferry.protocol.Wire;
 
 /** The address for users, workers and health checks: takes requests apart and hands them to the owner. */
@@ -28,8 +31,12 @@
     private final Owner owner;
     private final Limiter<Void> limiter;
     private final Coordinator coordinator;
+    private final Sockets sockets;
+    private final LongSupplier open;
 
-    UserServer(Owner owner, Coordinator coordinator, Limiter<Void> limiter) {
+    UserServer(Owner owner, Coordinator coordinator, Limiter<Void> limiter, Sockets sockets, LongSupplier open) {
+        this.sockets = sockets;
+        this.open = open;
         this.limiter = limiter;
         this.owner = owner;
         this.coordinator = coordinator;
@@ -38,7 +45,16 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
-        if (path.equals("/v1/report")) {
+        boolean report = path.equals("/v1/report");
+        long now = open.getAsLong();
+        if (report ? sockets.full(now) : sockets.crowded(now)) {
+            exchange.setPersistent(false); // past the limit nobody could connect any more
+            exchange.addExchangeCompleteListener((done, next) -> {
+                IoUtils.safeClose(done.getConnection()); // without waiting for the other side to close it too
+                next.proceed();
+            });
+        }
+        if (report) {
             post(exchange, body -> report(exchange, body));
         } else if (path.equals("/ready")) {
             get(exchange, () -> owned(exchange, () -> send(exchange, coordinator.ready() ? 200 : 503, 0, NOTHING)));
--- a/src/test/java/stileferry/cli/OverloadTest.java
+++ b/src/test/java/stileferry/cli/OverloadTest.java
@@ -1,16 +1,21 @@
 package stileferry.cli;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.Test;
@@ -58,6 +63,43 @@
         return times.get(times.size() * percent / 100);
     }
 
+    /** Asks over a connection of its own that stays open if the service lets it; returns what it answers. */
+    private static String ask(Socket connection) throws IOException {
+        connection.setSoTimeout(5000);
+        connection.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(US_ASCII));
+        byte[] answer = new byte[1024];
+        int n = connection.getInputStream().read(answer);
+        return n < 0 ? "" : new String(answer, 0, n, US_ASCII);
+    }
+
+    /** Guards against users who keep their connections: at the limit nobody else, no worker either, could connect. */
+    @Test
+    void keptConnectionsShutNobodyOut() throws Exception {
+        int port = ServiceTest.freePorts();
+        Path file = dir.resolve("few.json");
+        try (StandInHost standIns = StandIns.start(port, dir)) {
+            assertEquals("127.0.0.1:" + port, standIns.addr());
+            Files.writeString(file, Files.readString(dir.resolve("node-0.json")).replace("1000}", "200}"));
+            List<Socket> kept = new ArrayList<>();
+            try (Controller controller = Controller.builder().settings(SettingsFile.read(file).settings()).build()) {
+                controller.start();
+                int closing = 0;
+                for (int i = 0; i < 300; i++) { // the limit is at 156
+                    Socket connection = new Socket("127.0.0.1", port + 1);
+                    kept.add(connection);
+                    String answer = ask(connection);
+                    assertTrue(answer.startsWith("HTTP/1.1 "), "connection " + i + " was answered '" + answer + "'");
+                    closing += answer.toLowerCase(Locale.ROOT).contains("connection: close") ? 1 : 0;
+                }
+                assertTrue(closing > 150 && closing < 200, closing + " connections had to end");
+            } finally {
+                for (Socket connection : kept) {
+                    connection.close();
+                }
+            }
+        }
+    }
+
     @Test
     void whatIsTakenKeepsItsTimesAndTheRestIsRefusedAtOnce() throws Exception {
         int port = ServiceTest.freePorts();
--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -168,6 +168,33 @@
                 + " jobs wait");
     }
 
+    /** Guards against a new leader in a cut that opens a connection to every machine that can't answer. */
+    @Test
+    void questionsToMachinesThatHangLeaveSocketsForCommands() {
+        Board board = board(2000, new SplittableRandom(1));
+        board.machines.values().forEach(m -> {
+            m.heard = false;
+            m.addr = "10.0.0.1:" + m.name.substring(m.name.length() - 4);
+        });
+        World w = new World(1);
+        int[] open = new int[1];
+        int[] most = new int[1];
+        int[] asked = new int[1];
+        w.hangingCalls = timeoutMs -> {
+            asked[0]++;
+            most[0] = Math.max(most[0], ++open[0]);
+            w.after(timeoutMs, () -> open[0]--);
+        };
+        World.Node node = w.nodes.get("n0");
+        node.start();
+        Fleet fleet = new Fleet(board, node.outside, null, 1, null);
+        fleet.greetAll();
+        w.play(20);
+        int commands = board.settings.sockets().commands();
+        assertTrue(most[0] <= commands / 2, most[0] + " questions at once, " + commands + " sockets for commands");
+        assertTrue(asked[0] > 10 * most[0], "only " + asked[0] + " were asked");
+    }
+
     /** A day at the grown size: rules, and how much is asked of the state service for thousands of starts and ends. */
     @Test
     void aGrownFleetStaysWithinTheRates() {
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Outside;
@@ -68,6 +69,9 @@
     /** The share of reports of which a copy arrives once more, seconds to well over a lease later, anywhere. */
     double lateCopies;
 
+    /** Told of every call to a worker, none of which is answered then; null: workers answer. */
+    LongConsumer hangingCalls;
+
     /** Since when the troubles are over; 0: they are not. From then on every job must be answered for. */
     long quietSince;
 
@@ -327,6 +331,9 @@
                 }, mine);
             } else if (addr.equals(CLOUD)) {
                 exchange(me, CLOUD, timeoutMs, true, r -> cloud.request(method, path, copy, r), mine);
+            } else if (hangingCalls != null) {
+                hangingCalls.accept(timeoutMs);
+                World.this.after(timeoutMs, () -> mine.done(NO_ANSWER, null));
             } else {
                 Worker w = workers.get(addr);
                 exchange(me, addr, timeoutMs, w != null && heldUntil(me, addr) <= now, r -> {
