A machine's silence is noted durably, so the next leader need not begin its lease anew

Ruled out: room elsewhere, the rate of changes.

Now a leader notes machines that are silent for 1.5 report intervals, with when it last answered them, and answers their next report only when it is durable that the note no longer holds. The next leader, and only that one, goes by notes that stand, as far as its own process consented to no caretaker since.

--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -104,6 +104,10 @@
     /** Forgets a machine that is gone. */
     void forget(Machine machine) {
         rooms.remove(machine);
+        if (machine.silence != null) {
+            machine.silence.over = true;
+            machine.silence = null;
+        }
         machines.remove(machine.name);
         deleted.add(machine.name);
     }
--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -54,6 +54,7 @@
         waiting = new ArrayList<>();
         int[] open = {peers.size()};
         boolean[] alone = {true};
+        leadership.consent();
         for (Settings.Peer peer : peers) {
             outside.peer(peer, leadership.words(), ANSWER_MS, record -> {
                 if (record instanceof PeerRecord.Term t) {
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -207,11 +207,17 @@
         if (report.token() > leadership.term()) {
             leadership.learn(report.token(), "");
         }
-        ObjectNode answer = leader == null ? null : leader.report(report);
-        if (answer == null) {
-            reply.accept(503, Messages.error("not entitled to answer this report"));
+        Consumer<ObjectNode> answered = answer -> {
+            if (answer == null) {
+                reply.accept(503, Messages.error("not entitled to answer this report"));
+            } else {
+                reply.accept(200, answer);
+            }
+        };
+        if (leader == null) {
+            answered.accept(null);
         } else {
-            reply.accept(200, answer);
+            leader.report(report, answered);
         }
     }
 
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stileferry.protocol.Messages;
@@ -52,6 +53,7 @@
     private final Leadership leadership;
     private final long term;
     private final Events events;
+    private final Silences silences;
     private final long reportMs;
     private final long leaseMs;
     private final long cancelMs;
@@ -75,7 +77,9 @@
         void changed();
     }
 
-    Fleet(Board board, Outside outside, Leadership leadership, long term, Events events) {
+    Fleet(Board board, Outside outside, Leadership leadership, long term, Events events,
+            Silences silences) {
+        this.silences = silences;
         this.board = board;
         this.outside = outside;
         this.leadership = leadership;
@@ -92,18 +96,31 @@
         closed = true;
     }
 
-    /** Takes a report and returns the answer's body; null when this report must not be answered with 200. */
-    ObjectNode report(Report r) {
+    /** Takes a report and replies with the answer's body; null when this report must not be answered with 200. */
+    void report(Report r, Consumer<ObjectNode> reply) {
+        Machine m = mayAnswer(r) ? board.machine(r.machine()) : null;
+        if (m == null) {
+            reply.accept(null);
+        } else if (m.silence != null) {
+            silences.heard(m, () -> reply.accept(mayAnswer(r) ? answer(m, r) : null), () -> reply.accept(null));
+        } else {
+            reply.accept(answer(m, r));
+        }
+    }
+
+    private boolean mayAnswer(Report r) {
         if (board.deleted.contains(r.machine())) {
-            return null; // sent before the machine was deleted
+            return false; // sent before the machine was deleted
         }
         Machine m = board.machine(r.machine());
         if (m.deleting || r.session() <= m.lapsedSession) {
-            return null; // its lease may not be renewed: what was on it is counted as gone, or about to be
-        }
-        if (r.session() < m.session || r.session() == m.reportSession && r.seq() <= m.reportSeq) {
-            return null; // a late copy: a worker has one report in flight, so nobody waits for this answer
+            return false; // its lease may not be renewed: what was on it is counted as gone, or about to be
         }
+        // a late copy otherwise: a worker has one report in flight, so nobody waits for the answer
+        return r.session() >= m.session && (r.session() != m.reportSession || r.seq() > m.reportSeq);
+    }
+
+    private ObjectNode answer(Machine m, Report r) {
         doubt(m, r);
         m.reportSession = r.session();
         m.reportSeq = r.seq();
@@ -430,24 +447,33 @@
                 });
     }
 
+    /** When any controller can last have renewed the lease of a machine in a session; -1: unknown. */
+    private long lastAnswered(Machine m, long session, long acked) {
+        if (m.answeredAt > 0 && m.accepted(term)) {
+            return m.answeredAt;
+        }
+        if (m.answeredBefore >= 0 && !m.heard && session <= m.answeredBeforeSession) {
+            return Math.max(m.answeredBefore, m.answeredAt);
+        }
+        return acked >= 0 ? Math.max(acked, m.answeredAt) : -1;
+    }
+
     /** Looks for leases that have lapsed for certain. */
     void checkLeases() {
         long now = outside.now();
         long acked = leadership.allAckedAt();
         for (Machine m : board.machines.values()) {
-            long since = -1;
-            if (m.answeredAt > 0 && m.accepted(term)) {
-                since = m.answeredAt;
-            } else if (acked >= 0) {
-                since = Math.max(acked, m.answeredAt);
-            }
-            if (since < 0 || now < since + Math.round(leaseMs * (1 + DRIFT)) + LAPSE_SLACK_MS) {
-                continue;
-            }
             long over = m.session;
             for (Claim c : m.claims.values()) {
                 over = Math.max(over, c.session);
             }
+            long since = lastAnswered(m, over, acked);
+            if (since >= 0 && over > m.lapsedSession) {
+                silences.note(m, over, since);
+            }
+            if (since < 0 || now < since + Math.round(leaseMs * (1 + DRIFT)) + LAPSE_SLACK_MS) {
+                continue;
+            }
             if (over > m.lapsedSession) {
                 m.lapsedSession = over;
                 if (m.heard || !m.claims.isEmpty()) {
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -57,6 +57,7 @@
     private final Ledger ledger;
     private final Board board;
     private final Fleet fleet;
+    private final Silences silences;
     private final Placement placement;
     private final Preemption preemption;
     private final Provisioning provisioning;
@@ -85,7 +86,8 @@
         this.ledger = new Ledger(outside, state, Leadership.LEADER_KEY, leaderRevision, term, leadership::resign);
         this.board = new Board(settings);
         this.board.types = types;
-        this.fleet = new Fleet(board, outside, leadership, term, this);
+        this.silences = new Silences(board, outside, ledger, leadership, term);
+        this.fleet = new Fleet(board, outside, leadership, term, this, silences);
         this.placement = new Placement(board);
         this.preemption = new Preemption(board, placement);
         this.provisioning = new Provisioning(board, outside, fleet, term);
@@ -99,6 +101,7 @@
         ledger.close();
         fleet.close();
         provisioning.close();
+        silences.close();
         for (Job job : board.jobs.values()) {
             answer(job, unavailable());
         }
@@ -195,6 +198,7 @@
         }
         List<Claim> claims = reader.claims();
         claims.forEach(board::add);
+        silences.takeOver(reader.silences());
         active = true;
         activeAt = outside.now();
         LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, board.jobs.size(), claims.size());
@@ -218,6 +222,7 @@
         fleet.checkLeases();
         fleet.probe();
         giveUpWaiting();
+        silences.giveUp();
         if (leadership.sure()) {
             provisioning.list();
             provisioning.returnMachines(settled());
@@ -464,8 +469,12 @@
     // ---- workers and peers
 
     /** Answers a report; null: not with 200. */
-    ObjectNode report(Report r) {
-        return active ? fleet.report(r) : fleet.hold(r);
+    void report(Report r, Consumer<ObjectNode> reply) {
+        if (active) {
+            fleet.report(r, reply);
+        } else {
+            reply.accept(fleet.hold(r));
+        }
     }
 
     /** Everything that piled up in a turn goes out together. */
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -48,6 +48,7 @@
     private long sureUntil;
     private long ledSince;
     private int round;
+    private long consentedAt;
 
     /** What the coordinator wants to know. */
     interface Listener {
@@ -68,6 +69,7 @@
         this.listener = listener;
         this.lifeMs = Math.max(1000, Math.min(1500, Math.round(settings.workers().reportS() * LIFE_IN_REPORTS * 1000)));
         this.ackedAt = new long[settings.peers().size()];
+        this.consentedAt = outside.now(); // what a former life of this process consented to is not known
     }
 
     void start() {
@@ -124,9 +126,22 @@
     /** Takes what another controller says and answers with what this one knows. */
     PeerRecord.Term hear(PeerRecord.Term heard) {
         learn(heard);
+        if (!heard.leading() && !leading) {
+            consent(); // who does not lead asks only for that
+        }
         return words();
     }
 
+    /** Takes in that a caretaker may answer reports that were sent until now. */
+    void consent() {
+        consentedAt = outside.now();
+    }
+
+    /** When this process last let a caretaker answer reports; since its start it has not done so after that. */
+    long consentedAt() {
+        return consentedAt;
+    }
+
     /** What this controller tells others. */
     PeerRecord.Term words() {
         return new PeerRecord.Term(term, leader(), leading);
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -40,6 +40,15 @@
     /** When a report of this machine was last answered in this term; 0: never. */
     long answeredAt;
 
+    /** Its silence as it is noted in the state service; null: not noted. */
+    Silences.Silence silence;
+
+    /** When a report of it was last answered before this leader began, if the former leader noted it; -1: unknown. */
+    long answeredBefore = -1;
+
+    /** The session of which that is known. */
+    long answeredBeforeSession;
+
     /** The highest session that is proven to be over, or will be as soon as the machine is heard again. */
     long lapsedSession;
 
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -296,6 +296,7 @@
     boolean allowed(Job job, Machine m, long now) {
         JobSpec spec = job.spec;
         return m.usable()
+                && m.silence == null
                 && now >= m.placeAfter
                 && now - m.heardAt < 3000 * board.settings.workers().reportS()
                 && spec.fitsType(m.type)
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Silences.java
@@ -0,0 +1,204 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Outside;
+import stileferry.storage.Ledger;
+
+/**
+ * Machines that have fallen silent, noted in the state service, so that the next leader need not begin to wait for
+ * their leases anew. A note says when a report of the machine was last answered. Before the machine's next report is
+ * answered, it is durable that the note no longer holds; so whoever reads a note that stands knows that its writer
+ * renewed nothing since.
+ *
+ * <p>Only the very next leader may go by a note: every leader notes for itself what it knows. Caretakers answer
+ * without a look at notes, but only with the consent of every controller's process, so a process remembers when it last
+ * consented, or that it did not live yet.
+ */
+final class Silences {
+    private static final Logger LOG = LoggerFactory.getLogger("fleet");
+
+    /** Kinds of events in the records, beside those of tasks. */
+    static final int SILENT = 3;
+
+    static final int HEARD = 4;
+
+    /** Reports come a quarter late at most, and one may get lost. */
+    private static final double NOTE_AFTER_REPORTS = 1.5;
+
+    /** A report waits this long at most until it may be answered: less than the 4 s that its worker waits. */
+    private static final long DURABLE_MS = 3000;
+
+    /** Bytes of an event in JSON form beside the machine's name. */
+    private static final int BYTES = 64;
+
+    private final Board board;
+    private final Outside outside;
+    private final Ledger ledger;
+    private final Leadership leadership;
+    private final long term;
+    private final long reportMs;
+    private final double clockOffMs;
+    private final Map<Machine, List<Waiting>> waiting = new HashMap<>();
+
+    private record Waiting(long since, Runnable answer, Runnable refuse) {}
+
+    /** One machine's silence. */
+    static final class Silence {
+        final String machine;
+        final long session;
+        final long answeredAt;
+        final long term;
+
+        /** The number of the stored record that holds it. */
+        private long record;
+
+        /** It need not be stored any more. */
+        boolean over;
+
+        Silence(String machine, long session, long answeredAt, long term) {
+            this.machine = machine;
+            this.session = session;
+            this.answeredAt = answeredAt;
+            this.term = term;
+        }
+
+        static Silence read(JsonNode e) {
+            return new Silence(e.path(1).asText(), e.path(2).asLong(), e.path(3).asLong(), e.path(4).asLong());
+        }
+    }
+
+    private record Silent(Silence silence) implements Ledger.Event {
+        @Override
+        public void write(ArrayNode into) {
+            into.add(SILENT).add(silence.machine).add(silence.session).add(silence.answeredAt).add(silence.term);
+        }
+
+        @Override
+        public int bytes() {
+            return BYTES + silence.machine.length();
+        }
+
+        @Override
+        public void recorded(long record) {
+            silence.record = record;
+        }
+
+        @Override
+        public Ledger.Event kept(long record) {
+            return silence.record == record && !silence.over ? this : null;
+        }
+
+        @Override
+        public boolean ends() {
+            return false;
+        }
+    }
+
+    /** Needed only while an older record holds the silence, and older records are given up first. */
+    private record Heard(String machine) implements Ledger.Event {
+        @Override
+        public void write(ArrayNode into) {
+            into.add(HEARD).add(machine);
+        }
+
+        @Override
+        public int bytes() {
+            return BYTES + machine.length();
+        }
+
+        @Override
+        public void recorded(long record) {}
+
+        @Override
+        public Ledger.Event kept(long record) {
+            return null;
+        }
+
+        @Override
+        public boolean ends() {
+            return true;
+        }
+    }
+
+    Silences(Board board, Outside outside, Ledger ledger, Leadership leadership, long term) {
+        this.board = board;
+        this.outside = outside;
+        this.ledger = ledger;
+        this.leadership = leadership;
+        this.term = term;
+        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
+        this.clockOffMs = board.settings.clockOffMs();
+    }
+
+    /** Takes in what the former leader noted, once the claims are known. */
+    void takeOver(Iterable<Silence> notes) {
+        if (clockOffMs < 0) {
+            return; // clocks of which nothing is said can't be compared
+        }
+        int taken = 0;
+        for (Silence s : notes) {
+            Machine m = board.machines.get(s.machine);
+            if (m == null || s.term != term - 1) {
+                continue;
+            }
+            long ago = outside.timeOfDay() - s.answeredAt - (long) Math.ceil(2 * clockOffMs);
+            m.answeredBefore = Math.max(outside.now() - ago, leadership.consentedAt());
+            m.answeredBeforeSession = s.session;
+            taken++;
+        }
+        if (taken > 0) {
+            LOG.info("{} machines were silent before this leader began", taken);
+        }
+    }
+
+    /** Notes a machine whose last report, of this session, was answered then, if it is silent for long enough. */
+    void note(Machine m, long session, long answeredAt) {
+        long ago = outside.now() - answeredAt;
+        if (m.silence == null && !m.claims.isEmpty() && ago > NOTE_AFTER_REPORTS * reportMs && leadership.sure()) {
+            m.silence = new Silence(m.name, session, outside.timeOfDay() - ago, term);
+            ledger.log(new Silent(m.silence), null);
+        }
+    }
+
+    /** Answers a report of a machine that was noted as soon as it is durable that it is silent no more. */
+    void heard(Machine m, Runnable answer, Runnable refuse) {
+        List<Waiting> before = waiting.get(m);
+        if (before != null) {
+            before.add(new Waiting(outside.now(), answer, refuse));
+            return;
+        }
+        waiting.put(m, new ArrayList<>(List.of(new Waiting(outside.now(), answer, refuse))));
+        Silence silence = m.silence;
+        ledger.log(new Heard(m.name), () -> {
+            silence.over = true;
+            m.silence = null;
+            waiting.remove(m).forEach(w -> w.answer.run());
+        });
+    }
+
+    /** Refuses what has waited for too long; its worker asks again. */
+    void giveUp() {
+        long before = outside.now() - DURABLE_MS;
+        for (List<Waiting> reports : waiting.values()) {
+            reports.removeIf(w -> {
+                if (w.since < before) {
+                    w.refuse.run();
+                }
+                return w.since < before;
+            });
+        }
+    }
+
+    /** Refuses all that waits. */
+    void close() {
+        waiting.values().forEach(reports -> reports.forEach(w -> w.refuse.run()));
+        waiting.clear();
+    }
+}
--- a/src/main/java/stileferry/coordination/TaskEvents.java
+++ b/src/main/java/stileferry/coordination/TaskEvents.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import stileferry.storage.Ledger;
 
-/** What is stored of tasks: claims, their ends, and tasks that are done; and how that is read again. */
+/** What is stored of tasks: claims, their ends, and tasks that are done; and how all events are read again. */
 final class TaskEvents {
     private static final int CLAIMED = 0;
     private static final int FREED = 1;
@@ -128,6 +128,7 @@
     static final class Reader {
         private final Map<String, Job> jobs;
         private final Map<Job, Map<Integer, Claim>> claims = new HashMap<>();
+        private final Map<String, Silences.Silence> silences = new HashMap<>();
 
         Reader(Map<String, Job> jobs) {
             this.jobs = jobs;
@@ -137,12 +138,21 @@
         List<Ledger.Event> read(JsonNode record, long number) {
             List<Ledger.Event> events = new ArrayList<>();
             for (JsonNode e : record.path("e")) {
+                int kind = e.path(0).asInt(-1);
+                if (kind == Silences.SILENT) {
+                    silences.put(e.path(1).asText(), Silences.Silence.read(e));
+                    continue;
+                }
+                if (kind == Silences.HEARD) {
+                    silences.remove(e.path(1).asText());
+                    continue;
+                }
                 Job job = jobs.get(e.path(1).asText());
                 int index = e.path(2).asInt(-1);
                 if (job == null || index < 0 || index >= job.spec.tasks()) {
                     continue; // the job is over
                 }
-                switch (e.path(0).asInt(-1)) {
+                switch (kind) {
                     case CLAIMED -> events.add(claim(job, index, e.path(3).asLong(), e.path(4).asText(),
                             e.path(5).asLong(), number));
                     case FREED -> {
@@ -204,6 +214,11 @@
             return claims.computeIfAbsent(job, j -> new HashMap<>());
         }
 
+        /** The silences of machines that stand after all records. */
+        Iterable<Silences.Silence> silences() {
+            return silences.values();
+        }
+
         /** The claims that stand after all records. */
         List<Claim> claims() {
             List<Claim> all = new ArrayList<>();
--- a/src/main/java/stileferry/protocol/Settings.java
+++ b/src/main/java/stileferry/protocol/Settings.java
@@ -3,7 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
-/** What the platform hands over at the start; every figure has been checked by {@link SettingsReader}. */
+/**
+ * What the platform hands over at the start; every figure has been checked by {@link SettingsReader}.
+ *
+ * @param clockOffMs how far the time of day may be from the true time; -1: nothing is said of it
+ */
 public record Settings(
         String node,
         String zone,
@@ -18,7 +22,8 @@
         Workers workers,
         State state,
         Cloud cloud,
-        int maxSockets) {
+        int maxSockets,
+        double clockOffMs) {
 
     /** Another controller. */
     public record Peer(String node, String zone, String addr) {}
--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -66,7 +66,8 @@
                 new Settings.Cloud(
                         positive(cloud, "cluster.cloud.", "rps"),
                         atLeast(cloud, "cluster.cloud.", "list_lag_s", 0)),
-                (int) atLeast(limits, "cluster.machine_limits.", "max_sockets", 16));
+                (int) atLeast(limits, "cluster.machine_limits.", "max_sockets", 16),
+                cluster.path("clock_off_ms").isMissingNode() ? -1 : atLeast(cluster, "cluster.", "clock_off_ms", 0));
     }
 
     private List<Settings.Peer> peers(JsonNode root, String self) {
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -22,7 +22,7 @@
     void oneMachine() {
         Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za"),
                 List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)), List.of(),
-                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100);
+                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100, 5);
         board = new Board(settings);
         board.types = List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za")));
         placement = new Placement(board);
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -75,7 +75,7 @@
         List<String> machines = w.cloud.up();
         String machine = machines.isEmpty() ? null : machines.get(r.nextInt(machines.size()));
         String addr = "w-" + machine + ":1";
-        switch (r.nextInt(16)) {
+        switch (r.nextInt(18)) {
             case 0, 1 -> restart(w, node, r.nextBoolean() ? 300 : 5000);
             case 2 -> nodes.forEach(n -> restart(w, n, 1000 + r.nextLong(4000)));
             case 3 -> w.cut(node.settings.node(), 1000 + r.nextLong(20_000));
@@ -123,6 +123,13 @@
                 w.slowStoreMs = 30 * 20;
                 w.after(1000 + r.nextLong(30_000), () -> w.slowStoreMs = 0);
             }
+            case 16, 17 -> { // a zone is cut off, and the leader may crash meanwhile
+                w.cutZone(r.nextBoolean() ? "za" : "zb", 1000 + r.nextLong(25_000));
+                World.Node leader = w.leader();
+                if (leader != null && r.nextBoolean()) {
+                    w.after(r.nextLong(15_000), () -> restart(w, leader, r.nextBoolean() ? 200 : 5000));
+                }
+            }
             case 14 -> { // back at once, while the others may just be choosing a leader
                 nodes.forEach(n -> restart(w, n, 100 + r.nextLong(200)));
                 w.after(500 + r.nextLong(2000), () -> restart(w, node, 100));
@@ -323,6 +330,54 @@
         assertTrue(w.cloud.up().contains(machine));
     }
 
+    /**
+     * Found on a day where the leader crashed while a zone was cut off: the new leader began to wait for the leases of
+     * the zone's machines anew, and their services ran nowhere for that long.
+     */
+    @Test
+    void aCrashDuringACutDoesNotBeginTheLeasesAnew() {
+        World w = new World(39);
+        w.play(3);
+        for (int i = 0; i < 4; i++) {
+            w.submit(service(i, 2, 2));
+        }
+        w.play(25);
+        assertEquals(8, w.running());
+        String zone = w.zoneOf(w.machineInUse());
+        w.cutZone(zone, 30_000);
+        w.play(5);
+        World.Node first = w.leader();
+        restart(w, first, 5000);
+        w.play(13); // the lease is 10 s and counts from the last report that was answered; then a machine has to boot
+        assertTrue(w.leader() != first);
+        assertEquals(8, w.running(), "services of the zone run elsewhere");
+        w.play(30);
+        assertEquals(8, w.running());
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** What makes the test above hold must not outlive its truth: after a silence that has ended, leases begin anew. */
+    @Test
+    void aSilenceThatEndedIsNoProofForTheNextLeader() {
+        World w = new World(40);
+        w.play(3);
+        for (int i = 0; i < 4; i++) {
+            w.submit(service(i, 2, 2));
+        }
+        w.play(25);
+        String zone = w.zoneOf(w.machineInUse());
+        int ended = w.ended;
+        w.cutZone(zone, 7000);
+        w.play(9.5);
+        assertEquals(ended, w.ended, "nothing was lost so far");
+        w.cutZone(zone, 25_000);
+        w.leader().crash();
+        w.play(60);
+        assertEquals(List.of(), w.violations);
+        assertTrue(w.ended > ended, "the second cut was longer than a lease");
+        assertEquals(8, w.running());
+    }
+
     @Test
     void theSameSeedPlaysTheSameDay() {
         World a = day(77, 60);
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -171,7 +171,7 @@
                 {"name":"blue","cpus":16,"cpus_max":24},{"name":"free"}],"objectives":[],
                 "workers":{"report_s":%s,"lease_s":%s,"cancel_s":%s},
                 "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},
-                "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000}}}
+                "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000},"clock_off_ms":20}}
                 """.formatted(name, seeds, CLOUD, STATE, redMax, reportS, 5 * reportS, CANCEL_S));
         if (read.settings() == null) {
             throw new IllegalStateException(read.problems().toString());
@@ -226,6 +226,15 @@
         cutUntil.put(host, now + ms);
     }
 
+    /** Cuts all machines of a zone off; the nodes are elsewhere. */
+    void cutZone(String zone, long ms) {
+        workers.values().stream().filter(x -> x.zone().equals(zone)).forEach(x -> cut(x.addr(), ms));
+    }
+
+    String zoneOf(String machine) {
+        return workers.get("w-" + machine + ":1").zone();
+    }
+
     private long heldUntil(String a, String b) {
         return Math.max(cutUntil.getOrDefault(a, 0L), cutUntil.getOrDefault(b, 0L));
     }
@@ -275,6 +284,7 @@
     final class SimOutside implements Outside {
         final Node node;
         final long shift = random.nextLong(1_000_000);
+        final long clockOff = random.nextLong(-20, 21);
         boolean dead;
         String logLevel = "default";
 
@@ -296,7 +306,7 @@
 
         @Override
         public long timeOfDay() {
-            return now;
+            return now + clockOff;
         }
 
         @Override
--- a/src/test/java/stileferry/protocol/SettingsReaderTest.java
+++ b/src/test/java/stileferry/protocol/SettingsReaderTest.java
@@ -40,6 +40,7 @@
         "\"report_s\":2|\"report_s\":\"soon\"|cluster.workers.report_s",
         "\"rps\":150|\"rps\":-1|cluster.state.rps",
         "\"txn_ops\":12|\"txn_ops\":1|cluster.state.txn_ops",
+        "\"txn_ops\":12}|\"txn_ops\":12},\"clock_off_ms\":-5|cluster.clock_off_ms",
         "\"zones\":[\"za\",\"zb\"]|\"zones\":[3]|cluster.zones",
         "\"cpus_max\":2|\"cpus_max\":-2|cluster.teams[0].cpus_max",
         "\"state\":\"10.2.0.1:2379\"|\"state\":null|outside.state"})
