A new leader leaves the machines of a cut zone alone, and nobody rents in a dark zone

Only machines that the list calls booting never came up; others are silent and returned after three leases. A zone more than a quarter of which is silent gets no new machines. That share is now counted from 1.4 report intervals: counted from 0.55 leases, a cut zone was judged while only a part of it had been silent for so long, and spot machines of that part were given up.

--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -496,29 +496,48 @@
         events.changed();
     }
 
+    /** Zones of which so many machines are silent that the network must be at fault, rather than each of them. */
+    Set<String> darkZones(long activeSince) {
+        long before = outside.now() - Math.round(PROBE_AFTER_REPORTS * reportMs);
+        Map<String, int[]> zones = new HashMap<>();
+        for (Machine m : board.machines.values()) {
+            if (m.type != null && !m.deleting && !m.booting) {
+                int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
+                counts[0]++;
+                counts[1] += lastSeen(m, activeSince) < before ? 1 : 0;
+            }
+        }
+        Set<String> dark = new HashSet<>();
+        zones.forEach((zone, counts) -> {
+            if (counts[1] > Math.max(2, LOST_SHARE * counts[0])) {
+                dark.add(zone);
+            }
+        });
+        return dark;
+    }
+
+    /** A new leader has heard nobody; who does not come in time was taken before or while it took over. */
+    private static long lastSeen(Machine m, long activeSince) {
+        return Math.max(m.heardAt, activeSince);
+    }
+
     /**
-     * Spot machines with work that were most likely taken without a word: they neither report nor answer. The network
-     * may be at fault when many are silent in one zone, and this node when it could hear nobody for a while.
+     * Spot machines with work that were most likely taken without a word: they neither report nor answer, and the
+     * network is not at fault.
      */
     List<Machine> takenAway(long activeSince) {
-        long now = outside.now();
-        Map<String, int[]> zones = new HashMap<>();
+        long before = outside.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
         List<Machine> silent = new ArrayList<>();
         for (Machine m : board.machines.values()) {
-            if (m.type == null || m.deleting || m.booting) {
-                continue;
-            }
-            int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
-            counts[0]++;
-            // a new leader has heard nobody; who does not come in time was taken before or while it took over
-            if (now - Math.max(m.heardAt, activeSince) > LOST_AFTER_LEASES * leaseMs) {
-                counts[1]++;
-                if (m.spot && !m.claims.isEmpty()) {
-                    silent.add(m);
-                }
+            if (m.type != null && m.spot && !m.deleting && !m.booting && !m.claims.isEmpty()
+                    && lastSeen(m, activeSince) < before) {
+                silent.add(m);
             }
         }
-        silent.removeIf(m -> zones.get(m.zone)[1] > Math.max(2, LOST_SHARE * zones.get(m.zone)[0]));
+        if (!silent.isEmpty()) {
+            Set<String> dark = darkZones(activeSince);
+            silent.removeIf(m -> dark.contains(m.zone));
+        }
         return silent;
     }
 
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -47,6 +47,7 @@
     private boolean listedOnce;
     private boolean deleting;
     private boolean closed;
+    private Set<String> dark = Set.of();
     private int spotMachines;
     private int allMachines;
 
@@ -220,7 +221,7 @@
             if (m.missingSince != 0 && now - m.missingSince > lag / 2 && (fleet.silent(m) || !m.heard)) {
                 // Listed before and not listed now: it is gone. Deleting it is free and makes that certain.
                 why = "it is not listed any more";
-            } else if (!m.heard && m.type != null && m.claims.isEmpty() && m.rentedAt != 0
+            } else if (!m.heard && m.booting && m.type != null && m.claims.isEmpty() && m.rentedAt != 0
                     && now - m.rentedAt > BOOT_PATIENCE * 1000 * m.type.bootS() && settled) {
                 why = "it never came up";
             } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce
@@ -228,7 +229,8 @@
                 why = "nobody knows it";
             } else if (taken.contains(m)) {
                 why = "it was taken without a word"; // the deletion proves sooner than the lease that its tasks are gone
-            } else if (m.heard && m.lapsedSession >= m.session && now - m.heardAt > 3 * lease) {
+            } else if (m.lapsedSession >= m.session && m.claims.isEmpty() && !m.booting
+                    && Math.min(quiet, now - m.heardAt) > 3 * lease) {
                 why = "it is silent";
             } else if (m.unreachedSince != 0 && now - m.unreachedSince > 3 * lease && settled) {
                 why = "it reports, but nothing that it is told reaches it";
@@ -309,6 +311,7 @@
     /** Rents for the jobs that wait, after counting the machines that boot. */
     void rent(List<Job> waiting) {
         repeatRentals();
+        dark = fleet.darkZones(since); // what boots there can't report
         List<Bin> coming = new ArrayList<>();
         Map<String, Integer> perZone = new HashMap<>();
         spotMachines = 0;
@@ -400,7 +403,8 @@
                 for (boolean spot : new boolean[] {true, false}) {
                     Bin bin = new Bin(type, zone, spot);
                     Refusal refusal = refusals.get(group(type, zone, spot));
-                    if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now()) && bin.fits(spec)
+                    if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now())
+                            && !dark.contains(zone) && bin.fits(spec)
                             && (best == null || cheaper(bin, best, perZone))) {
                         best = bin;
                     }
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -356,6 +356,38 @@
         assertEquals(List.of(), w.violations);
     }
 
+    /**
+     * Found on the same day: the new leader took the machines of the cut zone, which it had never heard, for ones that
+     * never came up, returned them all, and rented others in the zone that nobody could reach.
+     */
+    @Test
+    void aNewLeaderLeavesTheMachinesOfACutZoneAlone() {
+        World w = new World(41, 9, 2, 40);
+        w.play(3);
+        for (int i = 0; i < 14; i++) {
+            w.submit(service(i, 2, 2));
+        }
+        w.play(60);
+        List<String> all = w.cloud.up();
+        String zone = all.stream().filter(m -> w.zoneOf(m).equals("za")).count() > all.size() / 2 ? "za" : "zb";
+        List<String> machines = all.stream().filter(m -> w.zoneOf(m).equals(zone)).toList();
+        assertTrue(machines.size() >= 3, all + " are up");
+        w.cutZone(zone, 24_000);
+        w.play(4);
+        restart(w, w.leader(), 5000);
+        w.play(10);
+        w.submit(array(20, "any", JobSpec.Priority.IDLE, 30, 60));
+        w.play(8);
+        for (World.User u : w.users.values()) {
+            assertTrue(!u.spec.service() || !w.machinesOf(u).isEmpty(), "services of the zone run elsewhere");
+        }
+        assertTrue(w.cloud.up().containsAll(machines), "they are there when the cut ends");
+        assertEquals(machines, w.cloud.up().stream().filter(m -> w.zoneOf(m).equals(zone)).toList(),
+                "nothing was rented in a zone that nobody can reach");
+        w.play(10);
+        assertEquals(List.of(), w.violations);
+    }
+
     /** What makes the test above hold must not outlive its truth: after a silence that has ended, leases begin anew. */
     @Test
     void aSilenceThatEndedIsNoProofForTheNextLeader() {
