Ordinary machines that are silent alone are given up too; a new session has a lease of its own

The zone's share of silent machines that speaks for a fault of the network is a half now: a tenth of all machines that hang is a fifth of those that are up.

--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -46,7 +46,7 @@
     private static final double LOST_AFTER_LEASES = 0.55;
 
     /** Silent machines of a zone, as a share of all, above which the network is at fault rather than each of them. */
-    private static final double LOST_SHARE = 0.25;
+    private static final double LOST_SHARE = 0.5;
 
     private final Board board;
     private final Outside outside;
@@ -195,6 +195,7 @@
             LOG.info("machine {} is up in {} after {} s", m.name, r.zone(), (now - m.rentedAt) / 1000);
         }
         if (r.session() > m.session) {
+            m.sessionSeenAt = now;
             m.openRuns.clear();
             m.settling.clear();
         }
@@ -359,7 +360,7 @@
         long now = outside.now();
         for (Machine m : board.machines.values()) {
             boolean doubtful = m.unreachedSince != 0 && now - m.unreachedSince > reportMs / 2;
-            boolean silent = m.spot && m.heard && !m.claims.isEmpty()
+            boolean silent = m.heard && !m.claims.isEmpty()
                     && now - m.heardAt > PROBE_AFTER_REPORTS * reportMs;
             if ((doubtful || silent) && !m.deleting && !m.addr.isEmpty() && !inFlight.contains(m)) {
                 toAsk.add(m);
@@ -447,15 +448,18 @@
                 });
     }
 
-    /** When any controller can last have renewed the lease of a machine in a session; -1: unknown. */
+    /**
+     * When any controller can last have renewed the lease of a machine in a session; -1: unknown. A session that was
+     * only seen in answers to commands has a lease of its own, which no answer to a report has begun.
+     */
     private long lastAnswered(Machine m, long session, long acked) {
         if (m.answeredAt > 0 && m.accepted(term)) {
-            return m.answeredAt;
+            return Math.max(m.answeredAt, m.sessionSeenAt);
         }
         if (m.answeredBefore >= 0 && !m.heard && session <= m.answeredBeforeSession) {
             return Math.max(m.answeredBefore, m.answeredAt);
         }
-        return acked >= 0 ? Math.max(acked, m.answeredAt) : -1;
+        return acked >= 0 ? Math.max(acked, Math.max(m.answeredAt, m.sessionSeenAt)) : -1;
     }
 
     /** Looks for leases that have lapsed for certain. */
@@ -509,7 +513,7 @@
         }
         Set<String> dark = new HashSet<>();
         zones.forEach((zone, counts) -> {
-            if (counts[1] > Math.max(2, LOST_SHARE * counts[0])) {
+            if (counts[1] > Math.max(1, LOST_SHARE * counts[0])) {
                 dark.add(zone);
             }
         });
@@ -521,15 +525,12 @@
         return Math.max(m.heardAt, activeSince);
     }
 
-    /**
-     * Spot machines with work that were most likely taken without a word: they neither report nor answer, and the
-     * network is not at fault.
-     */
-    List<Machine> takenAway(long activeSince) {
+    /** Machines with work that are most likely gone or hang: they neither report nor answer, though their zone does. */
+    List<Machine> lost(long activeSince) {
         long before = outside.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
         List<Machine> silent = new ArrayList<>();
         for (Machine m : board.machines.values()) {
-            if (m.type != null && m.spot && !m.deleting && !m.booting && !m.claims.isEmpty()
+            if (m.type != null && !m.deleting && !m.booting && !m.claims.isEmpty()
                     && lastSeen(m, activeSince) < before) {
                 silent.add(m);
             }
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -22,6 +22,9 @@
     boolean heard;
 
     long session;
+    /** When this session was first seen, which must have begun by then. */
+    long sessionSeenAt;
+
     long seq;
     long token;
     long heardAt;
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -211,7 +211,7 @@
         long lag = Math.round(board.settings.cloud().listLagS() * 1000);
         long lease = Math.round(board.settings.workers().leaseS() * 1000);
         double spare = settled ? spareCpus() : 0;
-        Set<Machine> taken = settled ? new HashSet<>(fleet.takenAway(since)) : Set.of();
+        Set<Machine> lost = settled ? new HashSet<>(fleet.lost(since)) : Set.of();
         for (Machine m : board.machines.values()) {
             if (m.deleting) {
                 continue;
@@ -227,8 +227,9 @@
             } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce
                     && quiet > 2 * lag + lease) {
                 why = "nobody knows it";
-            } else if (taken.contains(m)) {
-                why = "it was taken without a word"; // the deletion proves sooner than the lease that its tasks are gone
+            } else if (lost.contains(m)) {
+                // the deletion proves sooner than the lease that its tasks are gone
+                why = m.spot ? "it was taken without a word" : "it is silent, though its zone is not";
             } else if (m.lapsedSession >= m.session && m.claims.isEmpty() && !m.booting
                     && Math.min(quiet, now - m.heardAt) > 3 * lease) {
                 why = "it is silent";
