--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -63,6 +63,7 @@
     private final Set<Machine> nudged = new LinkedHashSet<>();
     private final Set<Machine> toAsk = new LinkedHashSet<>();
     private final Set<Machine> inFlight = new LinkedHashSet<>();
+    private final Map<String, Long> darkAt = new HashMap<>();
     private boolean closed;
 
     /** What becomes known of claimed tasks. */
@@ -256,6 +257,8 @@
             if (t.stage() == Report.Stage.RUNNING || t.stage() == Report.Stage.SAVING) {
                 if (c.runningAt == 0) {
                     c.runningAt = now;
+                    LOG.debug("{} of {} runs on {} in {}, ordered {} ms ago", c.name, c.job.spec.jobClass(), m.name, m.zone,
+                            c.orderedAt == 0 ? -1 : now - c.orderedAt);
                     c.job.begun = true;
                     m.holds(c.job.spec.image(), c.job.spec.imageGb());
                 }
@@ -515,6 +518,7 @@
         zones.forEach((zone, counts) -> {
             if (counts[1] > Math.max(1, LOST_SHARE * counts[0])) {
                 dark.add(zone);
+                darkAt.put(zone, outside.now());
             }
         });
         return dark;
@@ -535,10 +539,9 @@
                 silent.add(m);
             }
         }
-        if (!silent.isEmpty()) {
-            Set<String> dark = darkZones(activeSince);
-            silent.removeIf(m -> dark.contains(m.zone));
-        }
+        darkZones(activeSince);
+        // for a lease's time machines may still be on their way back, some of them by way of the other controllers
+        silent.removeIf(m -> darkAt.containsKey(m.zone) && outside.now() - darkAt.get(m.zone) < leaseMs);
         return silent;
     }
 
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -167,6 +167,15 @@
         return images.containsKey(image);
     }
 
+    /** Images that tasks which may be here still wait for. */
+    int fetching() {
+        int fetching = 0;
+        for (String image : fetches.keySet()) {
+            fetching += images.containsKey(image) ? 0 : 1;
+        }
+        return fetching;
+    }
+
     /** How near an image is: 2, it is here; 1, a task that may be here fetches it; 0, neither. */
     int nearness(String image) {
         return images.containsKey(image) ? 2 : fetches.containsKey(image) ? 1 : 0;
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -245,8 +245,9 @@
     /** Whether a machine is the better one of two; a total order, so that the search's order does not matter. */
     boolean better(Job job, Machine m, Machine than) {
         int byImage = m.nearness(job.spec.image()) - than.nearness(job.spec.image());
-        if (byImage != 0 && needsImage(job, m.type)) {
-            return byImage > 0;
+        int byFetches = m.nearness(job.spec.image()) == 0 ? m.fetching() - than.fetching() : 0;
+        if ((byImage != 0 || byFetches != 0) && needsImage(job, m.type)) {
+            return byImage != 0 ? byImage > 0 : byFetches < 0;
         }
         long bySlowdown = Math.round(m.slowdown() / SLOWDOWN_STEP) - Math.round(than.slowdown() / SLOWDOWN_STEP);
         if (bySlowdown != 0) {
@@ -255,6 +256,9 @@
         if (byImage != 0) {
             return byImage > 0;
         }
+        if (byFetches != 0) {
+            return byFetches < 0; // images that are fetched at the same time share a machine's rate
+        }
         if (job.spec.spot() && m.spot != than.spot) {
             return m.spot; // leaves room on ordinary machines for work that may not go elsewhere
         }
--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -168,6 +168,31 @@
                 + " jobs wait");
     }
 
+    /**
+     * Found on a day with a zone cut off: hundreds of services that had lost their machines went to the fullest machines
+     * with room, which then fetched several images at a share of their rate each.
+     */
+    @Test
+    void anImageIsFetchedWhereNoOtherIs() {
+        SplittableRandom r = new SplittableRandom(3);
+        Board board = board(60, r);
+        board.machines.values().forEach(m -> m.faulty = false);
+        Placement placement = new Placement(board);
+        int most = 0;
+        for (int i = 0; i < 30; i++) {
+            JobSpec spec = new JobSpec("job-" + i, "quick", "red", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 1, 1, 0, 1,
+                    "new" + i, 2, null, null, false, false, true, 0, 0, 0, -1);
+            Job job = new Job(spec, i, NOW, 0);
+            job.accepted = true;
+            board.jobs.put(spec.id(), job);
+        }
+        placement.pass(NOW, NOW, (job, machines) -> claim(board, job, machines.get(0)));
+        for (Machine m : board.machines.values()) {
+            most = Math.max(most, m.fetching());
+        }
+        assertEquals(1, most, "images fetched at once on one machine, though others are idle");
+    }
+
     /** Guards against a new leader in a cut that opens a connection to every machine that can't answer. */
     @Test
     void questionsToMachinesThatHangLeaveSocketsForCommands() {
