--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -57,6 +57,10 @@
     boolean over;
 
     boolean withinGuarantee;
+
+    /** Since when room is being made for it where its image is; 0: not so. */
+    long keptBackAt;
+
     int successes;
     private int doneCount;
     private int[] doneRecords;
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -266,11 +266,13 @@
             return;
         }
         long now = outside.now();
-        List<Job> waiting = placement.pass(now, outside.timeOfDay(), this::start);
+        boolean preempts = settled() && board.options.flag(Options.PREEMPTION);
+        List<Job> waiting = placement.pass(now, outside.timeOfDay(), preempts, this::start);
+        if (preempts) {
+            makeRoom(waiting, now);
+        }
+        waiting.removeIf(job -> placement.keptBack(job, now)); // nothing is rented for it, and it is no lack of room
         if (settled() && !waiting.isEmpty()) {
-            if (board.options.flag(Options.PREEMPTION)) {
-                makeRoom(waiting, now);
-            }
             if (regular) {
                 provisioning.rent(waiting);
             }
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -141,6 +141,21 @@
                 && memoryUsed + job.spec.memoryGb() <= type.memoryGb() + 1e-6;
     }
 
+    /** Whether a task of this job would fit beside the tasks of its priority and above. */
+    boolean hasRoomWithoutLess(Job job) {
+        double cpus = type.cpus() - cpusUsed;
+        double gpus = type.gpus() - gpusUsed;
+        double memory = type.memoryGb() - memoryUsed;
+        for (Claim c : claims.values()) {
+            if (c.job.spec.priority().compareTo(job.spec.priority()) > 0) {
+                cpus += c.job.spec.cpus();
+                gpus += c.job.spec.gpus();
+                memory += c.job.spec.memoryGb();
+            }
+        }
+        return job.spec.cpus() <= cpus + 1e-6 && job.spec.gpus() <= gpus + 1e-6 && job.spec.memoryGb() <= memory + 1e-6;
+    }
+
     void finished(double runS, double waitS, double thresholdS) {
         slowdownSum += Math.max(1, (runS + waitS) / Math.max(runS, thresholdS));
         slowdownCount++;
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -23,11 +23,15 @@
      */
     private static final double SLOWDOWN_STEP = 0.25;
 
+    /** After so many times as long as a job was kept back for its image, it may be so again. */
+    private static final int KEPT_BACK_AGAIN = 8;
+
     /** Starts of one turn; more go on in the next, so that reports and renewals are not late. */
     private static final int STARTS_A_TURN = 400;
 
     private final Board board;
     private boolean cutShort;
+    private boolean keptBack;
 
     /** What found no room in a pass. Room only gets less in a pass, so whoever asks for as much finds none either. */
     static final class Misfits {
@@ -102,7 +106,7 @@
      * nothing fits. Returns the jobs that still wait for room, in queue order. A pass that starts too much for one
      * turn stops early, and {@link #cutShort} tells so.
      */
-    List<Job> pass(long now, long timeOfDay, BiConsumer<Job, List<Machine>> start) {
+    List<Job> pass(long now, long timeOfDay, boolean preempts, BiConsumer<Job, List<Machine>> start) {
         markGuaranteed();
         double protectAfterMs = 1000 * board.options.number(Options.HEAD_PROTECTION_S);
         List<Job> queue = queue(now, timeOfDay);
@@ -142,7 +146,8 @@
                 Machine room = kept;
                 usable = m -> m != room;
             }
-            List<Machine> machines = pick.spec.gang() ? chooseAll(pick, usable, now) : chooseOne(pick, usable, now);
+            keptBack = false;
+            List<Machine> machines = pick.spec.gang() ? chooseAll(pick, usable, now) : chooseOne(pick, usable, preempts, now);
             if (!machines.isEmpty()) {
                 boolean first = overdue(pick, timeOfDay);
                 start.accept(pick, machines);
@@ -158,7 +163,7 @@
             }
             open.set(at, null);
             left--;
-            if (misfits.add(pick) && board.withinLimit(pick)) {
+            if (!keptBack && misfits.add(pick) && board.withinLimit(pick)) {
                 // nobody who asks for as much or more finds room before something ends
                 for (int i = 0; i < open.size(); i++) {
                     if (open.get(i) != null && misfits.cover(open.get(i))) {
@@ -202,9 +207,39 @@
         return best;
     }
 
-    private List<Machine> chooseOne(Job job, Predicate<Machine> usable, long now) {
+    private List<Machine> chooseOne(Job job, Predicate<Machine> usable, boolean preempts, long now) {
         Machine machine = choose(job, usable, now);
-        return machine == null ? List.of() : List.of(machine);
+        keptBack = machine != null && preempts && betterMakeRoom(job, machine, now);
+        return machine == null || keptBack ? List.of() : List.of(machine);
+    }
+
+    /**
+     * Whether a critical task should rather have room made where its image is than fetch it here: stopping the work of
+     * a moment costs less than its users' wait. Only for half the time in which its tasks shall start.
+     */
+    private boolean betterMakeRoom(Job job, Machine chosen, long now) {
+        if (job.spec.priority() != JobSpec.Priority.CRITICAL || chosen.hasImage(job.spec.image())
+                || !needsImage(job, chosen.type)) {
+            return false;
+        }
+        long patience = Math.round(500 * startAim(job));
+        if (now - job.keptBackAt > KEPT_BACK_AGAIN * patience) {
+            job.keptBackAt = now; // another task, or the same lost once more
+        }
+        if (now - job.keptBackAt > patience) {
+            return false;
+        }
+        for (Machine m : board.machines.values()) {
+            if (m.heard && m.hasImage(job.spec.image()) && allowed(job, m, now) && m.hasRoomWithoutLess(job)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether room is being made for this job, so that nothing has to be rented for it. */
+    boolean keptBack(Job job, long now) {
+        return job.keptBackAt != 0 && now - job.keptBackAt <= 500 * startAim(job);
     }
 
     /** Machines for every task of a gang, or none: tried out with claims that are taken back at once. */
@@ -275,12 +310,17 @@
 
     /** True when the job is expected to start sooner than its image can be fetched. */
     boolean needsImage(Job job, MachineType type) {
+        return startAim(job) < job.spec.imageGb() / type.fetchGbPerS();
+    }
+
+    /** Seconds within which tasks of this job shall start; without end when nothing is said of that. */
+    private double startAim(Job job) {
         for (Settings.Objective aim : board.settings.objectives()) {
             if (aim.kind().equals("wait") && aim.jobClass().equals(job.spec.jobClass())) {
-                return aim.withinS() < job.spec.imageGb() / type.fetchGbPerS();
+                return aim.withinS();
             }
         }
-        return false;
+        return Double.POSITIVE_INFINITY;
     }
 
     /** Why the next task of this job has not started, in words for operators. */
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,21 +22,31 @@
     @BeforeEach
     void oneMachine() {
         Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za"),
-                List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)), List.of(),
+                List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)),
+                List.of(new Settings.Objective("wait", "swift", 0.5, 0.9)),
                 new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100, 5);
         board = new Board(settings);
         board.types = List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za")));
         placement = new Placement(board);
-        machine = board.machine("m");
-        machine.type = board.types.get(0);
-        board.setZone(machine, "za");
-        machine.heard = true;
-        machine.heardAt = NOW;
-        board.rooms.update(machine);
+        machine = machine("m");
+    }
+
+    private Machine machine(String name) {
+        Machine m = board.machine(name);
+        m.type = board.types.get(0);
+        board.setZone(m, "za");
+        m.heard = true;
+        m.heardAt = NOW;
+        board.rooms.update(m);
+        return m;
     }
 
     private Job job(String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
-        Job job = new Job(new JobSpec("job-" + ++jobs, "any", team, kind, priority, tasks, cpus, 0, 1, "img", 1, null, null,
+        return job("any", team, kind, priority, tasks, cpus);
+    }
+
+    private Job job(String of, String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
+        Job job = new Job(new JobSpec("job-" + ++jobs, of, team, kind, priority, tasks, cpus, 0, 1, "img", 1, null, null,
                 false, false, true, 60, 0, 0, -1), jobs, 0, 0);
         job.accepted = true;
         board.jobs.put(job.spec.id(), job);
@@ -52,7 +63,7 @@
     }
 
     private List<Preemption.Stop> decide() {
-        List<Job> waiting = placement.pass(NOW, 1000, (job, machines) -> { });
+        List<Job> waiting = placement.pass(NOW, 1000, false, (job, machines) -> { });
         return new Preemption(board, placement).decide(waiting, NOW, 60_000, 1000);
     }
 
@@ -68,6 +79,25 @@
         assertEquals(0, stops.get(0).graceS(), "critical work does not wait for others to save");
     }
 
+    /** Found on the bench: most services that started late fetched their image beside idle work on machines that had it. */
+    @Test
+    void aCriticalTaskTakesRoomWhereItsImageIs() {
+        machine.holds("img", 1);
+        run(job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.IDLE, 1, 8), 10_000);
+        Machine other = machine("other");
+        Job service = job("swift", "red", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 1, 2);
+        List<Machine> started = new ArrayList<>();
+        List<Job> waiting = placement.pass(NOW, 1000, true, (job, machines) -> started.addAll(machines));
+        assertEquals(List.of(), started);
+        List<Preemption.Stop> stops = new Preemption(board, placement).decide(waiting, NOW, 60_000, 1000);
+        assertEquals(List.of("m"), stops.stream().map(s -> s.victim().machine).toList());
+        placement.pass(NOW + 300, 1000, true, (job, machines) -> {
+            started.addAll(machines);
+            board.add(new Claim(service, 0, 1, machines.get(0).name, 1, NOW));
+        });
+        assertEquals(List.of(other), started, "it does not wait for longer than half its time to start");
+    }
+
     @Test
     void aGuaranteeTakesBorrowedRoomBackButNoMore() {
         Job borrowed = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 4, 2);
--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -118,7 +118,7 @@
                 job(plain, 100 * round + i, b);
             }
             List<String> starts = new ArrayList<>();
-            new Placement(fast).pass(NOW, NOW, (job, machines) -> starts.add(claim(fast, job, machines.get(0))));
+            new Placement(fast).pass(NOW, NOW, false, (job, machines) -> starts.add(claim(fast, job, machines.get(0))));
             assertEquals(plainPass(plain, new Placement(plain)), starts);
             started += starts.size();
             for (Board board : List.of(fast, plain)) { // every third task ends
@@ -146,7 +146,7 @@
         }
         int passes = 0;
         do {
-            placement.pass(NOW, NOW, (job, machines) -> claim(board, job, machines.get(0)));
+            placement.pass(NOW, NOW, false, (job, machines) -> claim(board, job, machines.get(0)));
             passes++;
         } while (placement.cutShort());
         int tasks = board.machines.values().stream().mapToInt(m -> m.claims.size()).sum();
@@ -157,7 +157,7 @@
         long waiting = placement.queue(NOW, NOW).size();
         long before = board.rooms.looks();
         List<Machine> started = new ArrayList<>();
-        placement.pass(NOW, NOW, (job, machines) -> {
+        placement.pass(NOW, NOW, false, (job, machines) -> {
             started.add(machines.get(0));
             claim(board, job, machines.get(0));
         });
@@ -186,7 +186,7 @@
             job.accepted = true;
             board.jobs.put(spec.id(), job);
         }
-        placement.pass(NOW, NOW, (job, machines) -> claim(board, job, machines.get(0)));
+        placement.pass(NOW, NOW, false, (job, machines) -> claim(board, job, machines.get(0)));
         for (Machine m : board.machines.values()) {
             most = Math.max(most, m.fetching());
         }
