--- a/src/main/java/stileferry/coordination/Admin.java
+++ b/src/main/java/stileferry/coordination/Admin.java
@@ -48,14 +48,14 @@
         switch (path) {
             case "settings" -> {
                 if (get) {
-                    reply.accept(Leader.ok(200, board.options.describe()));
+                    reply.accept(Users.ok(200, board.options.describe()));
                 } else {
                     change(bytes, false, reply);
                 }
             }
             case "settings/reset" -> {
                 if (get) {
-                    reply.accept(Leader.refusal(405, "only POST here"));
+                    reply.accept(Users.refusal(405, "only POST here"));
                 } else {
                     change(bytes, true, reply);
                 }
@@ -64,35 +64,35 @@
             case "machines" -> view(get, () -> machines(from, now), reply);
             case "queue" -> view(get, () -> queue(from, now, timeOfDay), reply);
             case "teams" -> view(get, this::teams, reply);
-            default -> reply.accept(Leader.refusal(404, "no such path"));
+            default -> reply.accept(Users.refusal(404, "no such path"));
         }
     }
 
     static void view(boolean get, Supplier<ObjectNode> view, Consumer<PeerRecord.Answer> reply) {
-        reply.accept(get ? Leader.ok(200, view.get()) : Leader.refusal(405, "only GET here"));
+        reply.accept(get ? Users.ok(200, view.get()) : Users.refusal(405, "only GET here"));
     }
 
     private void change(byte[] bytes, boolean reset, Consumer<PeerRecord.Answer> reply) {
         JsonNode body = Wire.decode(bytes);
         if (body == null || !body.isObject() || !body.path("revision").isIntegralNumber()) {
-            reply.accept(Leader.refusal(400, "revision: missing or not a whole number"));
+            reply.accept(Users.refusal(400, "revision: missing or not a whole number"));
             return;
         }
         if (body.path("revision").asLong() != pending.revision()) {
-            reply.accept(Leader.refusal(409, "revision: now at " + pending.revision()));
+            reply.accept(Users.refusal(409, "revision: now at " + pending.revision()));
             return;
         }
         Options next;
         try {
             next = reset ? pending.reset(body.path("names")) : pending.with(body.path("change"));
         } catch (Options.Invalid e) {
-            reply.accept(Leader.refusal(400, e.getMessage()));
+            reply.accept(Users.refusal(400, e.getMessage()));
             return;
         }
         pending = next;
         ledger.put(entry, () -> {
             taken.accept(next);
-            reply.accept(Leader.ok(200, next.describe()));
+            reply.accept(Users.ok(200, next.describe()));
         });
     }
 
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -158,20 +158,20 @@
         }
         Settings.Peer peer = leadership.leaderPeer();
         if (peer == null) {
-            reply.accept(Leader.unavailable());
+            reply.accept(Users.unavailable());
             return;
         }
         // shorter than the users' own patience: 2 s for a question, 5 s for a change
         long patience = ask == PeerRecord.Ask.STATUS ? 1500 : 4000;
         outside.peer(peer, new PeerRecord.Forward(ask, id, body), patience, answer ->
-                reply.accept(answer instanceof PeerRecord.Answer a ? a : Leader.unavailable()));
+                reply.accept(answer instanceof PeerRecord.Answer a ? a : Users.unavailable()));
     }
 
     private void lead(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
         switch (ask) {
-            case SUBMIT -> leader.submit(body, reply);
-            case STATUS -> leader.status(id, reply);
-            case WITHDRAW -> leader.withdraw(id, reply);
+            case SUBMIT -> leader.users().submit(body, reply);
+            case STATUS -> leader.users().status(id, reply);
+            case WITHDRAW -> leader.users().withdraw(id, reply);
             case ADMIN -> {
                 String[] parts = id.split("[ ?]", 3);
                 String from = parts.length > 2 && parts[2].startsWith("from=") ? parts[2].substring(5) : "";
@@ -180,7 +180,7 @@
             case REPORT -> {
                 Report report = Report.read(body);
                 if (report == null) {
-                    reply.accept(Leader.refusal(400, "not a report"));
+                    reply.accept(Users.refusal(400, "not a report"));
                 } else {
                     answerReport(report, (status, node) ->
                             reply.accept(new PeerRecord.Answer(status, 0, Wire.encode(node))));
@@ -262,13 +262,13 @@
             reply.accept(leadership.hear(t));
         } else if (record instanceof PeerRecord.Forward f) {
             if (leader == null) {
-                reply.accept(Leader.unavailable());
+                reply.accept(Users.unavailable());
             } else {
                 lead(f.ask(), f.id(), f.body(), reply::accept);
             }
         } else {
             LOG.debug("a record that nobody asked for: {}", record);
-            reply.accept(Leader.unavailable());
+            reply.accept(Users.unavailable());
         }
     }
 }
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -257,8 +257,8 @@
             if (t.stage() == Report.Stage.RUNNING || t.stage() == Report.Stage.SAVING) {
                 if (c.runningAt == 0) {
                     c.runningAt = now;
-                    LOG.debug("{} of {} runs on {} in {}, ordered {} ms ago", c.name, c.job.spec.jobClass(), m.name, m.zone,
-                            c.orderedAt == 0 ? -1 : now - c.orderedAt);
+                    LOG.debug("{} of {} runs on {} in {}, ordered {} ms ago", c.name, c.job.spec.jobClass(), m.name,
+                            m.zone, c.orderedAt == 0 ? -1 : now - c.orderedAt);
                     c.job.begun = true;
                     m.holds(c.job.spec.image(), c.job.spec.imageGb());
                 }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -1,18 +1,14 @@
 package stileferry.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
-import stileferry.protocol.Messages;
 import stileferry.protocol.Options;
 import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
@@ -34,12 +30,6 @@
     /** Transactions that may wait for the state service before no more is taken. */
     private static final int BACKLOG_TRANSACTIONS = 4;
 
-    /** Seconds of the state service's rates that may wait before submissions are refused. */
-    private static final double BEHIND_S = 2;
-
-    /** Users wait this long for a change to be durable: less than their own patience of 5 s. */
-    private static final long DURABLE_MS = 3000;
-
     /** Attempts of one term are numbered below this, so that attempts of a later term are always higher. */
     private static final long ATTEMPTS_PER_TERM = 1L << 32;
 
@@ -62,17 +52,16 @@
     private final Preemption preemption;
     private final Provisioning provisioning;
     private final Consolidation consolidation;
+    private final Users users;
     private final long roundMs;
 
-    /** Jobs whose users wait for something to be durable. */
-    private final Set<Job> awaited = new LinkedHashSet<>();
-
     private long numbers;
     private Admin admin;
     private boolean active;
     private long activeAt;
     private boolean closed;
     private boolean passAsked;
+    private boolean socketsAreFew;
     private long passTookMs;
 
     Leader(Settings settings, Outside outside, StateClient state, Leadership leadership, EndedJobs ended,
@@ -92,6 +81,27 @@
         this.preemption = new Preemption(board, placement);
         this.provisioning = new Provisioning(board, outside, fleet, term);
         this.consolidation = new Consolidation(board, placement, outside.now(), c -> stop(c, 0));
+        this.users = new Users(board, outside, state, ledger, ended, new Users.Lead() {
+            @Override
+            public boolean serving() {
+                return Leader.this.serving();
+            }
+
+            @Override
+            public long number() {
+                return term * ATTEMPTS_PER_TERM + ++numbers;
+            }
+
+            @Override
+            public void changed() {
+                Leader.this.changed();
+            }
+
+            @Override
+            public void cancel(Job job) {
+                Leader.this.cancel(job);
+            }
+        });
         this.roundMs = Math.round(settings.workers().reportS() * 1250) + 1000;
         load();
     }
@@ -102,9 +112,7 @@
         fleet.close();
         provisioning.close();
         silences.close();
-        for (Job job : board.jobs.values()) {
-            answer(job, unavailable());
-        }
+        users.close();
     }
 
     boolean active() {
@@ -221,7 +229,8 @@
         outside.after(Math.round(1000 * board.options.number(Options.PASS_INTERVAL_S)), this::tick);
         fleet.checkLeases();
         fleet.probe();
-        giveUpWaiting();
+        users.giveUpWaiting();
+        checkSockets();
         silences.giveUp();
         if (leadership.sure()) {
             provisioning.list();
@@ -231,6 +240,14 @@
         }
     }
 
+    private void checkSockets() {
+        if (!socketsAreFew && settings.sockets().full(board.machines.size())) {
+            socketsAreFew = true;
+            LOG.warn("{} machines: max_sockets ({}) leaves {} connections for them and all users, so they are not kept",
+                    board.machines.size(), settings.maxSockets(), settings.sockets().incoming());
+        }
+    }
+
     /** After one report round, what has not reported is taken for absent where that only costs a chance. */
     private boolean settled() {
         return outside.now() - activeAt > roundMs;
@@ -461,7 +478,7 @@
             job.over = true;
             board.jobs.remove(job.spec.id());
             ended.put(job.spec.id(), record);
-            answer(job, ok(200, record.answer(job.spec.id())));
+            users.answer(job, Users.ok(200, record.answer(job.spec.id())));
             if (onDurable != null) {
                 onDurable.run();
             }
@@ -489,172 +506,13 @@
 
     // ---- users
 
-    static PeerRecord.Answer ok(int status, ObjectNode body) {
-        return new PeerRecord.Answer(status, 0, Wire.encode(body));
-    }
-
-    static PeerRecord.Answer unavailable() {
-        return new PeerRecord.Answer(503, 1, Wire.encode(Messages.error("not available, try again")));
-    }
-
-    static PeerRecord.Answer refusal(int status, String reason) {
-        return new PeerRecord.Answer(status, 0, Wire.encode(Messages.error(reason)));
-    }
-
     private boolean serving() {
         return active && !closed && leadership.sure();
     }
 
-    private void answer(Job job, PeerRecord.Answer answer) {
-        List<Consumer<PeerRecord.Answer>> waiting = job.waiting;
-        job.waiting = new ArrayList<>();
-        job.waitingSince = 0;
-        awaited.remove(job);
-        waiting.forEach(w -> w.accept(answer));
-    }
-
-    private void await(Job job, Consumer<PeerRecord.Answer> reply) {
-        job.waiting.add(reply);
-        if (job.waitingSince == 0) {
-            job.waitingSince = outside.now();
-            awaited.add(job);
-        }
-    }
-
-    /** Users whose change is not durable in time hear at once that it isn't known yet, and when to come back. */
-    private void giveUpWaiting() {
-        long now = outside.now();
-        boolean sure = leadership.sure();
-        for (Job job : List.copyOf(awaited)) {
-            if (!sure || now - job.waitingSince > DURABLE_MS) {
-                answer(job, unavailable());
-            }
-        }
-    }
-
-    private PeerRecord.Answer state(Job job, int status) {
-        if (!job.accepted || job.cancelled && !job.cancelDurable) {
-            return unavailable(); // the outcome of what would change the answer is not known yet
-        }
-        int running = job.cancelled ? 0 : job.runningCount();
-        String tide = job.cancelled ? "cancelled" : running > 0 ? "running" : "pending";
-        int done = job.ending ? Math.max(0, job.doneCount() - 1) : job.doneCount();
-        return ok(status, Messages.jobState(job.spec.id(), tide, done, running));
-    }
-
-    /** A job that was accepted and whose record nobody can read: known, and not over. */
-    private static PeerRecord.Answer unreadable(String id) {
-        return ok(200, Messages.jobState(id, "pending", 0, 0));
-    }
-
-    /** Looks an id up among the ended jobs; the status is 0 when that can't be told now. */
-    private void lookUp(String id, Consumer<EndedJobs.Ended> known, Runnable unknown, Runnable failed) {
-        EndedJobs.Ended cached = ended.get(id);
-        if (cached != null) {
-            known.accept(cached);
-            return;
-        }
-        state.get(Job.endedKey(id), (status, body) -> {
-            if (!serving() || status != 200 && status != 404) {
-                failed.run();
-            } else if (status == 200) {
-                EndedJobs.Ended read = EndedJobs.Ended.read(body.path("v"));
-                ended.put(id, read);
-                known.accept(read);
-            } else {
-                unknown.run();
-            }
-        });
-    }
-
-    void submit(byte[] bytes, Consumer<PeerRecord.Answer> reply) {
-        if (!serving()) {
-            reply.accept(unavailable());
-            return;
-        }
-        JsonNode body = Wire.decode(bytes);
-        String id = body == null ? "" : body.path("name_id").asText("");
-        if (!JobSpec.validId(id)) {
-            reply.accept(refusal(400, "not a map with a valid job id"));
-            return;
-        }
-        Job job = board.jobs.get(id);
-        if (job != null) {
-            join(job, reply);
-            return;
-        }
-        if (board.unreadable.contains(id)) {
-            reply.accept(unreadable(id));
-            return;
-        }
-        long behindS = behindS();
-        if (behindS > 0) { // it would only wait, and everything behind it
-            reply.accept(new PeerRecord.Answer(503, (int) behindS,
-                    Wire.encode(Messages.error("too much to do, try again"))));
-            return;
-        }
-        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
-            Job meanwhile = board.jobs.get(id);
-            if (meanwhile != null) {
-                join(meanwhile, reply);
-            } else if (ended.get(id) != null) {
-                reply.accept(ok(200, ended.get(id).answer(id)));
-            } else {
-                accept(body, reply);
-            }
-        }, () -> reply.accept(unavailable()));
-    }
-
-    /** Seconds after which a submission is worth another try when the state service can't take it soon; 0: it can. */
-    private long behindS() {
-        double seconds = Math.max(ledger.backlog() / settings.state().writeRps(),
-                state.waiting() / settings.state().rps());
-        return seconds < BEHIND_S ? 0 : (long) Math.ceil(seconds);
-    }
-
-    private void join(Job job, Consumer<PeerRecord.Answer> reply) {
-        if (job.accepted) {
-            reply.accept(state(job, 200));
-        } else {
-            await(job, reply);
-        }
-    }
-
-    private void accept(JsonNode body, Consumer<PeerRecord.Answer> reply) {
-        JobSpec spec;
-        try {
-            spec = JobSpec.read(body);
-        } catch (JobSpec.Malformed e) {
-            reply.accept(refusal(400, e.getMessage()));
-            return;
-        }
-        Settings.Team team = settings.team(spec.team());
-        if (team == null) {
-            reply.accept(refusal(422, "unknown team"));
-            return;
-        }
-        if (board.types.isEmpty()) {
-            reply.accept(unavailable());
-            return;
-        }
-        if (board.types.stream().noneMatch(spec::fitsType)) {
-            reply.accept(refusal(422, "a task fits no allowed machine type"));
-            return;
-        }
-        double tasks = spec.kind() == JobSpec.Kind.ARRAY ? 1 : spec.tasks();
-        if (team.cpusMax() > 0 && tasks * spec.cpus() > team.cpusMax()
-                || team.gpusMax() > 0 && tasks * spec.gpus() > team.gpusMax()) {
-            reply.accept(refusal(422, "more than the team's limit"));
-            return;
-        }
-        Job job = new Job(spec, term * ATTEMPTS_PER_TERM + ++numbers, outside.timeOfDay(), 0);
-        await(job, reply);
-        board.jobs.put(spec.id(), job);
-        ledger.put(job.record, () -> {
-            job.accepted = true;
-            answer(job, ok(201, Messages.jobState(spec.id(), "pending", 0, 0)));
-            changed();
-        });
+    /** Dealings with users; what is asked before the claims have been read is refused there. */
+    Users users() {
+        return users;
     }
 
     void admin(String method, String path, String from, byte[] body, Consumer<PeerRecord.Answer> reply) {
@@ -671,50 +529,6 @@
                 .put("machines", board.machines.size()).put("changes_waiting", ledger.backlog());
     }
 
-    void status(String id, Consumer<PeerRecord.Answer> reply) {
-        if (!serving()) {
-            reply.accept(unavailable());
-            return;
-        }
-        Job job = board.jobs.get(id);
-        if (job != null) {
-            reply.accept(state(job, 200));
-            return;
-        }
-        if (board.unreadable.contains(id)) {
-            reply.accept(unreadable(id));
-            return;
-        }
-        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
-            Job meanwhile = board.jobs.get(id);
-            reply.accept(meanwhile != null ? state(meanwhile, 200) : refusal(404, "no such job"));
-        }, () -> reply.accept(unavailable()));
-    }
-
-    void withdraw(String id, Consumer<PeerRecord.Answer> reply) {
-        if (!serving()) {
-            reply.accept(unavailable());
-            return;
-        }
-        Job job = board.jobs.get(id);
-        if (job == null && board.unreadable.contains(id)) {
-            reply.accept(unavailable());
-        } else if (job == null) {
-            lookUp(id, e -> reply.accept(ok(200, e.answer(id))),
-                    () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : refusal(404, "no such job")),
-                    () -> reply.accept(unavailable()));
-        } else if (!job.accepted) {
-            reply.accept(unavailable());
-        } else if (job.cancelDurable) {
-            reply.accept(state(job, 200));
-        } else {
-            await(job, reply); // answered when the job's end, or the cancellation, is durable
-            if (!job.ending && !job.cancelled) {
-                cancel(job);
-            }
-        }
-    }
-
     private void cancel(Job job) {
         job.cancelled = true;
         for (Claim claim : List.copyOf(job.claims.values())) {
@@ -729,7 +543,7 @@
         }
         ledger.put(job.record, () -> {
             job.cancelDurable = true;
-            answer(job, state(job, 200));
+            users.answer(job, users.state(job, 200));
             stopAll(job);
             endIfOver(job);
         });
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -0,0 +1,277 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Outside;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
+import stileferry.storage.Ledger;
+import stileferry.storage.StateClient;
+
+/** Dealings with users in one term: they hear accepted, cancelled or done only when it is durable. */
+final class Users {
+    /** Seconds of the state service's rates that may wait before submissions are refused. */
+    private static final double BEHIND_S = 2;
+
+    /** Users wait this long for a change to be durable: less than their own patience of 5 s. */
+    private static final long DURABLE_MS = 3000;
+
+    private final Board board;
+    private final Outside outside;
+    private final StateClient state;
+    private final Ledger ledger;
+    private final EndedJobs ended;
+    private final Lead lead;
+
+    /** Jobs whose users wait for something to be durable. */
+    private final Set<Job> awaited = new LinkedHashSet<>();
+
+    /** What the leader does for its users. */
+    interface Lead {
+        /** Whether anything may be told or promised now. */
+        boolean serving();
+
+        /** The next number of this term, higher than all before. */
+        long number();
+
+        /** A job was accepted. */
+        void changed();
+
+        /** Cancels a job; its users are answered when that is durable. */
+        void cancel(Job job);
+    }
+
+    Users(Board board, Outside outside, StateClient state, Ledger ledger, EndedJobs ended, Lead lead) {
+        this.board = board;
+        this.outside = outside;
+        this.state = state;
+        this.ledger = ledger;
+        this.ended = ended;
+        this.lead = lead;
+    }
+
+    /** Tells all who wait that nothing more will be known here. */
+    void close() {
+        for (Job job : board.jobs.values()) {
+            answer(job, unavailable());
+        }
+    }
+
+    static PeerRecord.Answer ok(int status, ObjectNode body) {
+        return new PeerRecord.Answer(status, 0, Wire.encode(body));
+    }
+
+    static PeerRecord.Answer unavailable() {
+        return new PeerRecord.Answer(503, 1, Wire.encode(Messages.error("not available, try again")));
+    }
+
+    static PeerRecord.Answer refusal(int status, String reason) {
+        return new PeerRecord.Answer(status, 0, Wire.encode(Messages.error(reason)));
+    }
+
+    /** Answers all who wait for this job. */
+    void answer(Job job, PeerRecord.Answer answer) {
+        List<Consumer<PeerRecord.Answer>> waiting = job.waiting;
+        job.waiting = new ArrayList<>();
+        job.waitingSince = 0;
+        awaited.remove(job);
+        waiting.forEach(w -> w.accept(answer));
+    }
+
+    private void await(Job job, Consumer<PeerRecord.Answer> reply) {
+        job.waiting.add(reply);
+        if (job.waitingSince == 0) {
+            job.waitingSince = outside.now();
+            awaited.add(job);
+        }
+    }
+
+    /** Users whose change is not durable in time hear at once that it isn't known yet, and when to come back. */
+    void giveUpWaiting() {
+        long now = outside.now();
+        boolean sure = lead.serving();
+        for (Job job : List.copyOf(awaited)) {
+            if (!sure || now - job.waitingSince > DURABLE_MS) {
+                answer(job, unavailable());
+            }
+        }
+    }
+
+    /** Where a job stands, as its user may hear it. */
+    PeerRecord.Answer state(Job job, int status) {
+        if (!job.accepted || job.cancelled && !job.cancelDurable) {
+            return unavailable(); // the outcome of what would change the answer is not known yet
+        }
+        int running = job.cancelled ? 0 : job.runningCount();
+        String tide = job.cancelled ? "cancelled" : running > 0 ? "running" : "pending";
+        int done = job.ending ? Math.max(0, job.doneCount() - 1) : job.doneCount();
+        return ok(status, Messages.jobState(job.spec.id(), tide, done, running));
+    }
+
+    /** A job that was accepted and whose record nobody can read: known, and not over. */
+    private static PeerRecord.Answer unreadable(String id) {
+        return ok(200, Messages.jobState(id, "pending", 0, 0));
+    }
+
+    /** Looks an id up among the ended jobs; the status is 0 when that can't be told now. */
+    private void lookUp(String id, Consumer<EndedJobs.Ended> known, Runnable unknown, Runnable failed) {
+        EndedJobs.Ended cached = ended.get(id);
+        if (cached != null) {
+            known.accept(cached);
+            return;
+        }
+        state.get(Job.endedKey(id), (status, body) -> {
+            if (!lead.serving() || status != 200 && status != 404) {
+                failed.run();
+            } else if (status == 200) {
+                EndedJobs.Ended read = EndedJobs.Ended.read(body.path("v"));
+                ended.put(id, read);
+                known.accept(read);
+            } else {
+                unknown.run();
+            }
+        });
+    }
+
+    void submit(byte[] bytes, Consumer<PeerRecord.Answer> reply) {
+        if (!lead.serving()) {
+            reply.accept(unavailable());
+            return;
+        }
+        JsonNode body = Wire.decode(bytes);
+        String id = body == null ? "" : body.path("name_id").asText("");
+        if (!JobSpec.validId(id)) {
+            reply.accept(refusal(400, "not a map with a valid job id"));
+            return;
+        }
+        Job job = board.jobs.get(id);
+        if (job != null) {
+            join(job, reply);
+            return;
+        }
+        if (board.unreadable.contains(id)) {
+            reply.accept(unreadable(id));
+            return;
+        }
+        long behindS = behindS();
+        if (behindS > 0) { // it would only wait, and everything behind it
+            reply.accept(new PeerRecord.Answer(503, (int) behindS,
+                    Wire.encode(Messages.error("too much to do, try again"))));
+            return;
+        }
+        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
+            Job meanwhile = board.jobs.get(id);
+            if (meanwhile != null) {
+                join(meanwhile, reply);
+            } else if (ended.get(id) != null) {
+                reply.accept(ok(200, ended.get(id).answer(id)));
+            } else {
+                accept(body, reply);
+            }
+        }, () -> reply.accept(unavailable()));
+    }
+
+    /** Seconds after which a submission is worth another try when the state service can't take it soon; 0: it can. */
+    private long behindS() {
+        double seconds = Math.max(ledger.backlog() / board.settings.state().writeRps(),
+                state.waiting() / board.settings.state().rps());
+        return seconds < BEHIND_S ? 0 : (long) Math.ceil(seconds);
+    }
+
+    private void join(Job job, Consumer<PeerRecord.Answer> reply) {
+        if (job.accepted) {
+            reply.accept(state(job, 200));
+        } else {
+            await(job, reply);
+        }
+    }
+
+    private void accept(JsonNode body, Consumer<PeerRecord.Answer> reply) {
+        JobSpec spec;
+        try {
+            spec = JobSpec.read(body);
+        } catch (JobSpec.Malformed e) {
+            reply.accept(refusal(400, e.getMessage()));
+            return;
+        }
+        Settings.Team team = board.settings.team(spec.team());
+        if (team == null) {
+            reply.accept(refusal(422, "unknown team"));
+            return;
+        }
+        if (board.types.isEmpty()) {
+            reply.accept(unavailable());
+            return;
+        }
+        if (board.types.stream().noneMatch(spec::fitsType)) {
+            reply.accept(refusal(422, "a task fits no allowed machine type"));
+            return;
+        }
+        double tasks = spec.kind() == JobSpec.Kind.ARRAY ? 1 : spec.tasks();
+        if (team.cpusMax() > 0 && tasks * spec.cpus() > team.cpusMax()
+                || team.gpusMax() > 0 && tasks * spec.gpus() > team.gpusMax()) {
+            reply.accept(refusal(422, "more than the team's limit"));
+            return;
+        }
+        Job job = new Job(spec, lead.number(), outside.timeOfDay(), 0);
+        await(job, reply);
+        board.jobs.put(spec.id(), job);
+        ledger.put(job.record, () -> {
+            job.accepted = true;
+            answer(job, ok(201, Messages.jobState(spec.id(), "pending", 0, 0)));
+            lead.changed();
+        });
+    }
+
+    void status(String id, Consumer<PeerRecord.Answer> reply) {
+        if (!lead.serving()) {
+            reply.accept(unavailable());
+            return;
+        }
+        Job job = board.jobs.get(id);
+        if (job != null) {
+            reply.accept(state(job, 200));
+            return;
+        }
+        if (board.unreadable.contains(id)) {
+            reply.accept(unreadable(id));
+            return;
+        }
+        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
+            Job meanwhile = board.jobs.get(id);
+            reply.accept(meanwhile != null ? state(meanwhile, 200) : refusal(404, "no such job"));
+        }, () -> reply.accept(unavailable()));
+    }
+
+    void withdraw(String id, Consumer<PeerRecord.Answer> reply) {
+        if (!lead.serving()) {
+            reply.accept(unavailable());
+            return;
+        }
+        Job job = board.jobs.get(id);
+        if (job == null && board.unreadable.contains(id)) {
+            reply.accept(unavailable());
+        } else if (job == null) {
+            lookUp(id, e -> reply.accept(ok(200, e.answer(id))),
+                    () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : refusal(404, "no such job")),
+                    () -> reply.accept(unavailable()));
+        } else if (!job.accepted) {
+            reply.accept(unavailable());
+        } else if (job.cancelDurable) {
+            reply.accept(state(job, 200));
+        } else {
+            await(job, reply); // answered when the job's end, or the cancellation, is durable
+            if (!job.ending && !job.cancelled) {
+                lead.cancel(job);
+            }
+        }
+    }
+}
