--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -103,8 +103,8 @@
 
     /**
      * One pass. The head goes first if it fits, else the fitting job with the lowest rank times position, until
-     * nothing fits; where work may be stopped, critical tasks may be kept back for it. Returns the jobs that still wait for room, in queue order. A pass that starts too much for one
-     * turn stops early, and {@link #cutShort} tells so.
+     * nothing fits; where work may be stopped, critical tasks may be kept back for it. Returns the jobs that still wait
+     * for room, in queue order. A pass that starts too much for one turn stops early, and {@link #cutShort} tells so.
      */
     List<Job> pass(long now, long timeOfDay, boolean preempts, BiConsumer<Job, List<Machine>> start) {
         markGuaranteed();
