--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -220,6 +220,49 @@
         assertTrue(asked[0] > 10 * most[0], "only " + asked[0] + " were asked");
     }
 
+    /** A zone of a fleet of up to 2,100 machines is cut off, the leader crashes meanwhile, and the zone comes back at once. */
+    @Test
+    void aLargeZoneThatIsCutOffStaysWithinTheRates() {
+        World w = new World(7, 525, 6, 0);
+        SplittableRandom r = w.random.split();
+        w.play(3);
+        int jobs = 0;
+        for (int t = 0; t < 50; t++) {
+            for (int i = 0; i < 5; i++) {
+                boolean service = jobs % 5 == 0;
+                w.submit(new JobSpec("job-" + jobs++, "any", "free", service ? JobSpec.Kind.SERVICE : JobSpec.Kind.ARRAY,
+                        service ? JobSpec.Priority.CRITICAL : JobSpec.Priority.NORMAL, service ? 6 : 20 + r.nextInt(60), 2, 0, 4,
+                        "img" + r.nextInt(5), 1, null, null, false, service, !service, service ? 0 : 30 + r.nextInt(60), 0, 0,
+                        -1));
+            }
+            w.play(1);
+        }
+        int machines = w.cloud.up().size();
+        long before = w.state.changes();
+        w.cutZone("za", 45_000);
+        w.play(12);
+        World.Node leader = w.leader();
+        leader.crash();
+        w.after(5000, leader::start);
+        w.play(31);
+        for (World.User u : w.users.values()) { // half of each service may be in one zone, the rest waits
+            assertTrue(!u.spec.service() || !u.accepted || w.running(u) >= u.spec.tasks() / 2, u.spec.id() + " has "
+                    + w.running(u));
+        }
+        w.quietSince = w.now;
+        w.play(20);
+        for (World.User u : w.users.values()) {
+            assertTrue(!u.spec.service() || !u.accepted || w.running(u) == u.spec.tasks(), u.spec.id() + " has "
+                    + w.running(u) + " after the cut");
+        }
+        w.play(150);
+        assertEquals(List.of(), w.violations);
+        assertTrue(machines > 1000, machines + " machines are up");
+        assertTrue(w.users.values().stream().allMatch(u -> u.spec.service() || "done".equals(u.end)), "work is left");
+        long changes = w.state.changes() - before;
+        assertTrue(changes < 213 * 50 / 2, changes + " changes in 213 s, at 50 a second");
+    }
+
     /** A day at the grown size: rules, and how much is asked of the state service for thousands of starts and ends. */
     @Test
     void aGrownFleetStaysWithinTheRates() {
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -590,6 +590,11 @@
         return names;
     }
 
+    /** Tasks of this job that are on machines. */
+    long running(User user) {
+        return taskOn.keySet().stream().filter(task -> task.startsWith(user.spec.id() + "/")).count();
+    }
+
     /** Tasks that are on machines now. */
     int running() {
         return taskOn.size();
