--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -45,6 +45,15 @@
     /** A worker that can't reach this node comes back by way of the others well before. */
     private static final double LOST_AFTER_LEASES = 0.55;
 
+    /** What a failed report costs a worker: its patience, and the pause before it tries the next controller. */
+    private static final long DETOUR_MS = 5000;
+
+    /** Services run on ordinary machines, so these may fail twice: on a small fleet one cost them too often. */
+    private static final int DETOURS = 2;
+
+    /** Report intervals between two reports, at most. */
+    private static final double LATE_REPORT = 1.25;
+
     /** Silent machines of a zone, as a share of all, above which the network is at fault rather than each of them. */
     private static final double LOST_SHARE = 0.5;
 
@@ -531,11 +540,12 @@
 
     /** Machines with work that are most likely gone or hang: they neither report nor answer, though their zone does. */
     List<Machine> lost(long activeSince) {
-        long before = outside.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
+        long forSpot = outside.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
+        long forOthers = Math.min(forSpot, outside.now() - Math.round(LATE_REPORT * reportMs) - DETOURS * DETOUR_MS);
         List<Machine> silent = new ArrayList<>();
         for (Machine m : board.machines.values()) {
             if (m.type != null && !m.deleting && !m.booting && !m.claims.isEmpty()
-                    && lastSeen(m, activeSince) < before) {
+                    && lastSeen(m, activeSince) < (m.spot ? forSpot : forOthers)) {
                 silent.add(m);
             }
         }
