--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -112,6 +112,7 @@
         if (m == null) {
             reply.accept(null);
         } else if (m.silence != null) {
+            m.heardAt = outside.now(); // it is there, so it is not given up, however long this takes
             silences.heard(m, () -> reply.accept(mayAnswer(r) ? answer(m, r) : null), () -> reply.accept(null));
         } else {
             reply.accept(answer(m, r));
