--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -212,6 +212,7 @@
         }
         if (!m.heard && r.token() < term) {
             m.unreachedSince = now; // until it shows our term: this may be a late copy of what a dead machine said
+            toAsk.add(m); // its next report would show it too, but work may be waiting
         } else if (m.token < term && r.token() >= term) {
             m.unreachedSince = 0;
             events.changed();
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -311,6 +311,8 @@
         int left = w.running();
         assertTrue(left < 12);
         w.play(9); // the lease is 10 s, and a lapse takes a little longer
+        assertFalse(w.cloud.up().contains(machine));
+        w.play(5.5); // another boots for 5 s
         assertEquals(12, w.running(), "the lost tasks run again");
         assertEquals(List.of(), w.violations);
     }
@@ -325,7 +327,7 @@
         assertEquals(8, w.running());
         w.cloud.take(w.machineInUse());
         assertTrue(w.running() < 8);
-        w.play(24); // the lease is 30 s
+        w.play(24); // the lease is 30 s, and another boots for 5 s
         assertEquals(8, w.running(), "the lost replicas run again");
         assertEquals(List.of(), w.violations);
     }
