--- a/src/main/java/stileferry/coordination/Silences.java
+++ b/src/main/java/stileferry/coordination/Silences.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -45,7 +45,7 @@
     private final long term;
     private final long reportMs;
     private final double clockOffMs;
-    private final Map<Machine, List<Waiting>> waiting = new HashMap<>();
+    private final Map<Machine, List<Waiting>> waiting = new LinkedHashMap<>(); // in an order that a seed repeats
 
     private record Waiting(long since, Runnable answer, Runnable refuse) {}
 
