--- a/src/main/java/stileferry/coordination/TaskEvents.java
+++ b/src/main/java/stileferry/coordination/TaskEvents.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import stileferry.storage.Ledger;
@@ -127,7 +128,7 @@
     /** Reads stored records, in the order in which they were written. */
     static final class Reader {
         private final Map<String, Job> jobs;
-        private final Map<Job, Map<Integer, Claim>> claims = new HashMap<>();
+        private final Map<Job, Map<Integer, Claim>> claims = new LinkedHashMap<>(); // so that seeds repeat
         private final Map<String, Silences.Silence> silences = new HashMap<>();
 
         Reader(Map<String, Job> jobs) {
