--- /dev/null
+++ b/src/main/java/stileferry/cli/Daemon.java
@@ -0,0 +1,44 @@
+package stileferry.cli;
+
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import stileferry.transport.LogLevel;
+
+/**
+ * Where service managers start a controller: the same as the command {@code serve}, without the command line around it.
+ * Its one option is read by Commons CLI. Picocli's classes are of a form that the runtime can't archive, and to set up
+ * its commands takes half a second of processor time, which is five seconds of absence on a tenth of a core.
+ */
+public final class Daemon {
+    private static final String CONFIG = "config";
+
+    private Daemon() {}
+
+    /** Runs a controller until the process is killed; ends with exit code 2 for wrong usage or settings. */
+    public static void main(String[] args) {
+        LogLevel.start(System.getenv("LOG_LEVEL"));
+        System.exit(run(args));
+    }
+
+    /** The exit code, as soon as the controller is closed or can't start. */
+    static int run(String[] args) {
+        // The networking library registers with the runtime's management, which nobody asks here and which takes a
+        // tenth of a second to set up. It goes on without when there is none.
+        System.setProperty("javax.management.builder.initial", "none");
+        Options options = new Options().addOption(Option.builder().longOpt(CONFIG).hasArg().required().get());
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (!line.getArgList().isEmpty()) {
+                throw new ParseException("unknown argument: " + line.getArgList().get(0));
+            }
+            return Serve.run(Path.of(line.getOptionValue(CONFIG)));
+        } catch (ParseException e) {
+            System.err.println("stileferry: " + e.getMessage() + " (usage: --config FILE)");
+            return 2;
+        }
+    }
+}
--- a/src/main/java/stileferry/cli/Main.java
+++ b/src/main/java/stileferry/cli/Main.java
@@ -1,6 +1,5 @@
 package stileferry.cli;
 
-import java.util.Locale;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import stileferry.transport.LogLevel;
@@ -12,7 +11,7 @@
         mixinStandardHelpOptions = true,
         version = "stileferry 0.1.0",
         subcommands = {Serve.class, CheckConfig.class, Submit.class, Status.class, Withdraw.class, AdminCommand.class,
-            StandIns.class, Rehearse.class},
+            StandIns.class},
         footer = {"",
             "Exit codes: 0 done, 1 failed or no answer, 2 wrong usage or settings, 3 refused by the service."})
 public final class Main implements Runnable {
@@ -21,9 +20,7 @@
 
     /** Runs a command and ends the process with its exit code. */
     public static void main(String[] args) {
-        // Read when the first logger is made, so it has to be set before any other class loads.
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s - %5$s%6$s%n");
-        LogLevel.start(System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT));
+        LogLevel.start(System.getenv("LOG_LEVEL"));
         System.exit(commandLine().execute(args));
     }
 
--- a/src/main/java/stileferry/cli/Serve.java
+++ b/src/main/java/stileferry/cli/Serve.java
@@ -18,7 +18,12 @@
     private Path config;
 
     @Override
-    public Integer call() throws Exception {
+    public Integer call() {
+        return run(config);
+    }
+
+    /** Runs a controller with the settings in this file and returns the exit code. */
+    static int run(Path config) {
         SettingsReader.Result read = SettingsFile.read(config);
         if (read.settings() == null) {
             System.err.println("stileferry: settings: " + read.problems().get(0));
@@ -29,6 +34,9 @@
             controller.start();
             controller.awaitClosed(); // this thread reads nothing any more, see Node
             return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
         } catch (java.io.IOException | RuntimeException e) {
             System.err.println("stileferry: can't start: " + (e.getCause() == null ? e : e.getCause()));
             return 1;
--- a/src/main/java/stileferry/cli/StandIns.java
+++ b/src/main/java/stileferry/cli/StandIns.java
@@ -27,10 +27,18 @@
             description = "The first of seven ports (default ${DEFAULT-VALUE}).")
     private int port;
 
+    @Option(names = "--machines", defaultValue = "8", paramLabel = "N",
+            description = "Machines that the cloud has (default ${DEFAULT-VALUE}).")
+    private int machines;
+
+    @Option(names = "--report-s", defaultValue = "0.5", paramLabel = "S",
+            description = "Seconds between two reports of a worker; a lease is ten times that (default ${DEFAULT-VALUE}).")
+    private double reportS;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         Files.createDirectories(dir);
-        start(port, dir);
+        start(port, dir, size(machines, reportS));
         System.out.println("stand-ins run; start controllers with: serve --config " + dir.resolve("node-0.json")
                 + " (and node-1.json, node-2.json)");
         new CountDownLatch(1).await(); // until the process is killed
@@ -39,6 +47,17 @@
 
     /** Starts stand-ins and writes the settings files of the controllers that fit them. */
     static StandInHost start(int port, Path dir) throws IOException {
+        return start(port, dir, StandInHost.Size.SMALL);
+    }
+
+    /** So many machines with so long between reports. */
+    static StandInHost.Size size(int machines, double reportS) {
+        long reportMs = Math.round(reportS * 1000);
+        return new StandInHost.Size(machines, reportMs, 10 * reportMs);
+    }
+
+    /** The same for a fleet of another size. */
+    static StandInHost start(int port, Path dir, StandInHost.Size size) throws IOException {
         List<String> clients = new ArrayList<>();
         List<String> names = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
@@ -46,12 +65,12 @@
             names.add("node-" + i);
         }
         for (int i = 0; i < NODES; i++) {
-            Files.writeString(dir.resolve("node-" + i + ".json"), settings(port, i));
+            Files.writeString(dir.resolve("node-" + i + ".json"), settings(port, i, size));
         }
-        return new StandInHost(port, clients, names);
+        return new StandInHost(port, clients, names, size);
     }
 
-    private static String settings(int port, int node) {
+    private static String settings(int port, int node, StandInHost.Size size) {
         StringBuilder seeds = new StringBuilder();
         for (int i = 0; i < NODES; i++) {
             if (i != node) {
@@ -70,12 +89,14 @@
                     "zones": ["a", "b"],
                     "teams": [{"name": "red", "cpus": 8, "cpus_max": 24}, {"name": "blue"}],
                     "objectives": [],
-                    "workers": {"report_s": 0.5, "lease_s": 5, "cancel_s": 10},
+                    "workers": {"report_s": %s, "lease_s": %s, "cancel_s": %s},
                     "state": {"rps": 500, "write_rps": 200, "value_kb": 8, "txn_ops": 20},
                     "cloud": {"rps": 10, "list_lag_s": 0.5},
-                    "machine_limits": {"max_sockets": 1000}
+                    "machine_limits": {"max_sockets": %d}
                   }
                 }
-                """.formatted(node, port + 1 + node, port + 1 + NODES + node, seeds, port, port);
+                """.formatted(node, port + 1 + node, port + 1 + NODES + node, seeds, port, port,
+                        size.reportMs() / 1000.0, size.leaseMs() / 1000.0, 2 * size.leaseMs() / 1000.0,
+                        Math.max(1000, 3 * size.machines()));
     }
 }
--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -1,9 +1,11 @@
 package stileferry.protocol;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -22,10 +24,11 @@
     /** Reads settings from JSON text. */
     public static Result read(String json) {
         JsonNode root;
-        try {
-            root = new ObjectMapper().readTree(json);
-        } catch (JsonProcessingException e) {
-            return new Result(null, List.of("not valid JSON: " + e.getOriginalMessage()));
+        try (JsonParser p = new JsonFactory().createParser(json)) {
+            root = Wire.tree(p);
+        } catch (IOException e) {
+            String reason = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
+            return new Result(null, List.of("not valid JSON: " + reason));
         }
         if (root == null || !root.isObject()) {
             return new Result(null, List.of("the settings must be a JSON object"));
--- a/src/main/java/stileferry/protocol/Wire.java
+++ b/src/main/java/stileferry/protocol/Wire.java
@@ -1,23 +1,30 @@
 package stileferry.protocol;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
-/** The body format of every outside interface, MessagePack, as Jackson trees. */
+/**
+ * The body format of every outside interface, MessagePack, as Jackson trees. They are built and written through
+ * Jackson's streams alone: setting up its object mapper costs a small machine as much as a second of its time.
+ */
 public final class Wire {
     /** The largest body taken or sent, on interfaces that have a limit. */
     public static final int MAX_BODY = 64 * 1024;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
-            .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY);
+    /** No body of any interface is nested so deep; what is deeper could exhaust the stack. */
+    private static final int MAX_DEPTH = 64;
+
+    private static final MessagePackFactory FACTORY = new MessagePackFactory();
 
     private Wire() {}
 
@@ -33,9 +40,8 @@
 
     /** Reads one body; null when it is not MessagePack. */
     public static JsonNode decode(byte[] bytes) {
-        try {
-            JsonNode node = MAPPER.readTree(bytes);
-            return node == null || node.isMissingNode() ? null : node;
+        try (JsonParser p = parser(bytes)) {
+            return tree(p);
         } catch (IOException | RuntimeException e) {
             return null; // the decoder throws unchecked exceptions for some malformed input
         }
@@ -43,15 +49,109 @@
 
     /** A parser of one body, for what comes too often to build trees of it. */
     static JsonParser parser(byte[] bytes) throws IOException {
-        return MAPPER.createParser(bytes);
+        return FACTORY.createParser(bytes);
+    }
+
+    /** Reads the next value with all that it holds; null at the end of the input. */
+    static JsonNode tree(JsonParser p) throws IOException {
+        return p.nextToken() == null ? null : value(p, 0);
+    }
+
+    private static JsonNode value(JsonParser p, int depth) throws IOException {
+        if (depth > MAX_DEPTH) {
+            throw new IOException("nested too deep");
+        }
+        JsonNodeFactory nodes = JsonNodeFactory.instance;
+        switch (p.currentToken()) {
+            case START_OBJECT: {
+                ObjectNode map = nodes.objectNode();
+                for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
+                    next(p);
+                    if (map.replace(name, value(p, depth + 1)) != null) {
+                        throw new IOException("a field is given twice");
+                    }
+                }
+                return map;
+            }
+            case START_ARRAY: {
+                ArrayNode list = nodes.arrayNode();
+                while (next(p) != JsonToken.END_ARRAY) {
+                    list.add(value(p, depth + 1));
+                }
+                return list;
+            }
+            case VALUE_STRING:
+                return nodes.textNode(p.getText());
+            case VALUE_TRUE:
+                return nodes.booleanNode(true);
+            case VALUE_FALSE:
+                return nodes.booleanNode(false);
+            case VALUE_NULL:
+                return nodes.nullNode();
+            case VALUE_NUMBER_INT:
+                return switch (p.getNumberType()) {
+                    case INT -> nodes.numberNode(p.getIntValue());
+                    case LONG -> nodes.numberNode(p.getLongValue());
+                    default -> nodes.numberNode(p.getBigIntegerValue());
+                };
+            case VALUE_NUMBER_FLOAT:
+                return nodes.numberNode(p.getDoubleValue());
+            case VALUE_EMBEDDED_OBJECT:
+                return nodes.pojoNode(p.getEmbeddedObject());
+            default:
+                throw new IOException("unexpected " + p.currentToken());
+        }
+    }
+
+    private static JsonToken next(JsonParser p) throws IOException {
+        JsonToken token = p.nextToken();
+        if (token == null) {
+            throw new IOException("the body ends too soon");
+        }
+        return token;
     }
 
     /** Writes one body. */
     public static byte[] encode(JsonNode node) {
-        try {
-            return MAPPER.writeValueAsBytes(node);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree that cannot be written", e);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (JsonGenerator g = FACTORY.createGenerator(bytes)) {
+            write(g, node);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator g, JsonNode node) throws IOException {
+        switch (node.getNodeType()) {
+            case OBJECT -> {
+                g.writeStartObject();
+                for (Map.Entry<String, JsonNode> e : node.properties()) {
+                    g.writeFieldName(e.getKey());
+                    write(g, e.getValue());
+                }
+                g.writeEndObject();
+            }
+            case ARRAY -> {
+                g.writeStartArray();
+                for (JsonNode element : node) {
+                    write(g, element);
+                }
+                g.writeEndArray();
+            }
+            case STRING -> g.writeString(node.textValue());
+            case BOOLEAN -> g.writeBoolean(node.booleanValue());
+            case NUMBER -> number(g, node);
+            default -> g.writeNull();
+        }
+    }
+
+    private static void number(JsonGenerator g, JsonNode node) throws IOException {
+        switch (node.numberType()) {
+            case INT -> g.writeNumber(node.intValue());
+            case LONG -> g.writeNumber(node.longValue());
+            case BIG_INTEGER -> g.writeNumber(node.bigIntegerValue());
+            default -> g.writeNumber(node.doubleValue());
         }
     }
 }
--- a/src/main/java/stileferry/transport/LogLevel.java
+++ b/src/main/java/stileferry/transport/LogLevel.java
@@ -1,11 +1,17 @@
 package stileferry.transport;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /** How much is logged, now; the logging of the platform is behind SLF4J since it can be changed while it runs. */
 public final class LogLevel {
+    static {
+        // Read when the first logger is made.
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s - %5$s%6$s%n");
+    }
+
     private static final Map<String, Level> LEVELS =
             Map.of("error", Level.SEVERE, "info", Level.INFO, "debug", Level.FINE);
 
@@ -18,9 +24,9 @@
 
     private LogLevel() {}
 
-    /** Sets the level that the process starts with and returns to. */
+    /** Sets the level that the process starts with and returns to: error, info or debug; info when there is none. */
     public static void start(String level) {
-        preset = LEVELS.getOrDefault(level, Level.INFO);
+        preset = level == null ? Level.INFO : LEVELS.getOrDefault(level.toLowerCase(Locale.ROOT), Level.INFO);
         for (Logger logger : QUIET) {
             logger.setLevel(Level.SEVERE);
         }
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -24,14 +24,16 @@
     /** The machine type that the cloud stand-in rents. */
     public static final String TYPE = "box";
 
-    private static final int MACHINES = 8;
     private static final long BEAT_MS = 50;
-    private static final long REPORT_MS = 500;
-    private static final long LEASE_MS = 5000;
+
+    /** Addresses of workers in one block of loopback addresses. */
+    private static final int BLOCK = 250;
+
     private static final byte[] NOTHING = new byte[0];
 
-    private final Loop loop = new Loop(MACHINES);
+    private final Loop loop;
     private final int port;
+    private final Size size;
     private final List<String> controllers;
     private final List<String> names;
     private final StateService state = new StateService(20, 8);
@@ -41,16 +43,24 @@
     private int addresses;
     private volatile boolean closed;
 
+    /** How many machines the cloud has, how often their workers report, and how long a worker's lease is. */
+    public record Size(int machines, long reportMs, long leaseMs) {
+        /** What a trial on one computer needs. */
+        public static final Size SMALL = new Size(8, 500, 5000);
+    }
+
     /** Starts the stand-ins for controllers with these client addresses and names. */
-    public StandInHost(int port, List<String> controllers, List<String> names) throws IOException {
+    public StandInHost(int port, List<String> controllers, List<String> names, Size size) throws IOException {
         this.port = port;
+        this.size = size;
+        this.loop = new Loop(size.machines());
         this.controllers = List.copyOf(controllers);
         this.names = List.copyOf(names);
-        this.cloud = new Cloud(TYPE, 8, 32, 1, List.of("a", "b"), MACHINES / 4, 500, this::boot, this::remove);
+        this.cloud = new Cloud(TYPE, 8, 32, 1, List.of("a", "b"), size.machines() / 4, 500, this::boot, this::remove);
         Undertow.Builder builder = Undertow.builder().setWorker(loop.worker).setByteBufferPool(loop.buffers)
                 .setHandler(this::handle);
         builder.addHttpListener(port, "127.0.0.1");
-        for (int i = 1; i <= MACHINES; i++) {
+        for (int i = 1; i <= size.machines(); i++) {
             builder.addHttpListener(port, workerHost(i));
         }
         server = builder.build();
@@ -64,7 +74,7 @@
     }
 
     private static String workerHost(int number) {
-        return "127.0.1." + number;
+        return "127.0." + (1 + number / BLOCK) + "." + (1 + number % BLOCK);
     }
 
     private static long now() {
@@ -108,8 +118,8 @@
 
     private Worker boot(String machine, String place) {
         String[] parts = place.split("\\|");
-        String addr = workerHost(1 + addresses++ % MACHINES) + ":" + port;
-        Worker worker = new Worker(machine, addr, TYPE, parts[0], parts[1].equals("true"), 8, 32, LEASE_MS, now(),
+        String addr = workerHost(1 + addresses++ % size.machines()) + ":" + port;
+        Worker worker = new Worker(machine, addr, TYPE, parts[0], parts[1].equals("true"), 8, 32, size.leaseMs(), now(),
                 this::job, Worker.Watcher.NOBODY);
         workers.put(addr, worker);
         report(worker, 0);
@@ -142,7 +152,7 @@
                     int named = body == null ? -1 : names.indexOf(body.path("harbormaster").asText());
                     if (status == 200) {
                         worker.answered(body, session, sentAt);
-                        later(REPORT_MS, worker, to);
+                        later(size.reportMs(), worker, to);
                     } else if (status == 421 && named >= 0 && named != to) {
                         later(BEAT_MS, worker, named);
                     } else {
--- a/src/test/java/stileferry/cli/OverloadTest.java
+++ b/src/test/java/stileferry/cli/OverloadTest.java
@@ -75,7 +75,7 @@
     /** Guards against users who keep their connections: at the limit nobody else, no worker either, could connect. */
     @Test
     void keptConnectionsShutNobodyOut() throws Exception {
-        int port = ServiceTest.freePorts();
+        int port = Ports.free(7);
         Path file = dir.resolve("few.json");
         try (StandInHost standIns = StandIns.start(port, dir)) {
             assertEquals("127.0.0.1:" + port, standIns.addr());
@@ -102,7 +102,7 @@
 
     @Test
     void whatIsTakenKeepsItsTimesAndTheRestIsRefusedAtOnce() throws Exception {
-        int port = ServiceTest.freePorts();
+        int port = Ports.free(7);
         try (StandInHost standIns = StandIns.start(port, dir);
                 Controller controller = Controller.builder()
                         .settings(SettingsFile.read(dir.resolve("node-0.json")).settings()).build()) {
--- a/src/test/java/stileferry/cli/ServiceTest.java
+++ b/src/test/java/stileferry/cli/ServiceTest.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -34,27 +33,9 @@
     private static final List<Controller> CONTROLLERS = new ArrayList<>();
     private static UserClient user;
 
-    /** Seven ports in a row that are free just now. */
-    static int freePorts() throws IOException {
-        for (int base = 20_000; base < 30_000; base += 10) {
-            int open = 0;
-            for (int i = 0; i < 7; i++) {
-                try (ServerSocket s = new ServerSocket(base + i)) {
-                    open += s.isBound() ? 1 : 0;
-                } catch (IOException e) {
-                    break;
-                }
-            }
-            if (open == 7) {
-                return base;
-            }
-        }
-        throw new IOException("no free ports");
-    }
-
     @BeforeAll
     static void start() throws Exception {
-        port = freePorts();
+        port = Ports.free(7);
         standIns = StandIns.start(port, dir);
         List<String> addrs = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
@@ -202,6 +183,9 @@
         Files.writeString(file, Files.readString(dir.resolve("node-0.json")).replace("\"lease_s\": 5", "\"lease_s\": 0"));
         assertEquals(2, Main.commandLine().execute("serve", "--config", file.toString()));
         assertEquals(2, Main.commandLine().execute("check-config", file.toString()));
+        assertEquals(2, Daemon.run(new String[] {"--config", file.toString()}));
+        assertEquals(2, Daemon.run(new String[] {"--config"}), "the file is missing");
+        assertEquals(2, Daemon.run(new String[] {"--config", file.toString(), "more"}));
         assertEquals(2, Main.commandLine().execute("check-config", dir.resolve("none.json").toString()));
         assertEquals(0, Main.commandLine().execute("check-config", dir.resolve("node-0.json").toString()));
         assertTrue(Main.commandLine().execute("serve", "--config", dir.resolve("node-0.json").toString()) == 1,
