--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -98,6 +98,7 @@
     /** Wants a claimed task to stop; a shorter time to save replaces a longer one. */
     void stop(Claim claim, double graceS, long now) {
         claim.stop(graceS, now);
+        machine(claim.machine).asWanted = false;
         stopping.add(claim);
     }
 
--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -1,6 +1,5 @@
 package stileferry.coordination;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
@@ -11,6 +10,7 @@
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
 import stileferry.protocol.Settings;
+import stileferry.protocol.Wire;
 
 /**
  * Keeps workers' leases alive while nobody can lead, as when the state service is down and the leader has crashed.
@@ -31,7 +31,7 @@
     private boolean asking;
     private boolean active;
 
-    private record Waiting(Report report, BiConsumer<Integer, ObjectNode> reply) {}
+    private record Waiting(Report report, BiConsumer<Integer, byte[]> reply) {}
 
     Caretaker(Outside outside, Leadership leadership, List<Settings.Peer> peers) {
         this.outside = outside;
@@ -40,7 +40,7 @@
     }
 
     /** Takes a report that no leader can be found for. */
-    void take(Report report, BiConsumer<Integer, ObjectNode> reply) {
+    void take(Report report, BiConsumer<Integer, byte[]> reply) {
         waiting.add(new Waiting(report, reply));
         ask();
     }
@@ -82,9 +82,9 @@
         }
         for (Waiting w : batch) {
             if (entitled) {
-                w.reply.accept(200, Messages.signals(w.report.token(), List.of()));
+                w.reply.accept(200, Wire.encode(Messages.signals(w.report.token(), List.of())));
             } else {
-                w.reply.accept(503, Messages.error("no leader known"));
+                w.reply.accept(503, Wire.encode(Messages.error("no leader known")));
             }
         }
         ask();
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -1,7 +1,6 @@
 package stileferry.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import java.util.List;
@@ -178,12 +177,12 @@
                 leader.admin(parts[0], parts.length > 1 ? parts[1] : "", from, body, reply);
             }
             case REPORT -> {
-                Report report = Report.read(body);
+                Report report = Report.read(body, leader::lastReport);
                 if (report == null) {
                     reply.accept(Users.refusal(400, "not a report"));
                 } else {
-                    answerReport(report, (status, node) ->
-                            reply.accept(new PeerRecord.Answer(status, 0, Wire.encode(node))));
+                    answerReport(report, (status, answer) ->
+                            reply.accept(new PeerRecord.Answer(status, 0, answer)));
                 }
             }
         }
@@ -192,10 +191,10 @@
     // ---- workers
 
     /** Takes a worker's report. */
-    public void report(byte[] body, BiConsumer<Integer, ObjectNode> reply) {
-        Report report = Report.read(body);
+    public void report(byte[] body, BiConsumer<Integer, byte[]> reply) {
+        Report report = leader == null ? Report.read(body) : Report.read(body, leader::lastReport);
         if (report == null) {
-            reply.accept(400, Messages.error("not a report"));
+            reply.accept(400, Wire.encode(Messages.error("not a report")));
         } else if (leader != null) {
             answerReport(report, reply);
         } else {
@@ -203,13 +202,13 @@
         }
     }
 
-    private void answerReport(Report report, BiConsumer<Integer, ObjectNode> reply) {
+    private void answerReport(Report report, BiConsumer<Integer, byte[]> reply) {
         if (report.token() > leadership.term()) {
             leadership.learn(report.token(), "");
         }
-        Consumer<ObjectNode> answered = answer -> {
+        Consumer<byte[]> answered = answer -> {
             if (answer == null) {
-                reply.accept(503, Messages.error("not entitled to answer this report"));
+                reply.accept(503, Wire.encode(Messages.error("not entitled to answer this report")));
             } else {
                 reply.accept(200, answer);
             }
@@ -222,7 +221,7 @@
     }
 
     /** Names the leader; a worker that comes back all the same can't reach it, so its report is passed on. */
-    private void redirect(Report report, byte[] body, BiConsumer<Integer, ObjectNode> reply) {
+    private void redirect(Report report, byte[] body, BiConsumer<Integer, byte[]> reply) {
         Settings.Peer peer = leadership.leaderPeer();
         if (peer == null) {
             withoutLeader(report, reply);
@@ -232,13 +231,13 @@
         Sent sent = sentAway.getIfPresent(report.machine());
         if (sent == null || !sent.leader.equals(peer.node()) || now - sent.at > 2 * leaseMs) {
             sentAway.put(report.machine(), new Sent(peer.node(), now));
-            reply.accept(421, Messages.reportTo(peer.node()));
+            reply.accept(421, Wire.encode(Messages.reportTo(peer.node())));
             return;
         }
         outside.peer(peer, new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
                 Math.min(3000, reportMs), answer -> {
-                    if (answer instanceof PeerRecord.Answer a && Wire.decode(a.body()) instanceof ObjectNode o) {
-                        reply.accept(a.status(), o);
+                    if (answer instanceof PeerRecord.Answer a) {
+                        reply.accept(a.status(), a.body());
                     } else {
                         withoutLeader(report, reply);
                     }
@@ -246,11 +245,11 @@
     }
 
     /** Nobody to send a worker to: for a short time that is no matter, later its lease has to be kept alive. */
-    private void withoutLeader(Report report, BiConsumer<Integer, ObjectNode> reply) {
+    private void withoutLeader(Report report, BiConsumer<Integer, byte[]> reply) {
         if (leader == null && outside.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 8) {
             caretaker.take(report, reply);
         } else {
-            reply.accept(503, Messages.error("no leader known"));
+            reply.accept(503, Wire.encode(Messages.error("no leader known")));
         }
     }
 
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -1,6 +1,5 @@
 package stileferry.coordination;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +15,7 @@
 import stileferry.protocol.Messages.Signal;
 import stileferry.protocol.Outside;
 import stileferry.protocol.Report;
+import stileferry.protocol.Wire;
 
 /**
  * Dealings with the workers in one term: takes their reports, decides what is proven by them, and says what they
@@ -73,6 +73,7 @@
     private final Set<Machine> toAsk = new LinkedHashSet<>();
     private final Set<Machine> inFlight = new LinkedHashSet<>();
     private final Map<String, Long> darkAt = new HashMap<>();
+    private final byte[] nothing;
     private boolean closed;
 
     /** What becomes known of claimed tasks. */
@@ -100,6 +101,7 @@
         this.maxInFlight = board.settings.sockets().commands();
         this.askMs = Math.max(LEAST_ASK_MS, Math.round(reportMs * ASK_REPORTS));
         this.cancelMs = Math.round(board.settings.workers().cancelS() * 1000);
+        this.nothing = Wire.encode(Messages.signals(term, List.of()));
     }
 
     void close() {
@@ -107,7 +109,7 @@
     }
 
     /** Takes a report and replies with the answer's body; null when this report must not be answered with 200. */
-    void report(Report r, Consumer<ObjectNode> reply) {
+    void report(Report r, Consumer<byte[]> reply) {
         Machine m = mayAnswer(r) ? board.machine(r.machine()) : null;
         if (m == null) {
             reply.accept(null);
@@ -131,15 +133,23 @@
         return r.session() >= m.session && (r.session() != m.reportSession || r.seq() > m.reportSeq);
     }
 
-    private ObjectNode answer(Machine m, Report r) {
-        doubt(m, r);
+    private byte[] answer(Machine m, Report r) {
         m.reportSession = r.session();
         m.reportSeq = r.seq();
+        if (m.sameAsBefore(r) && r.seq() > m.seq) {
+            m.seq = r.seq();
+            m.last = r;
+            m.heardAt = outside.now();
+            m.answeredAt = m.heardAt;
+            m.answeredRuns = Set.of();
+            return nothing;
+        }
+        doubt(m, r);
         boolean fresh = take(m, r, true);
         m.answeredAt = outside.now();
         List<Signal> signals = fresh && leadership.sure() ? signals(m, true) : List.of();
         m.answeredRuns = keys(signals);
-        return Messages.signals(term, signals);
+        return signals.isEmpty() ? nothing : Wire.encode(Messages.signals(term, signals));
     }
 
     /**
@@ -184,11 +194,11 @@
     }
 
     /** Answers a report before the claims have been read: the lease is renewed, nothing is asked for. */
-    ObjectNode hold(Report r) {
+    byte[] hold(Report r) {
         Machine m = board.machine(r.machine());
         m.addr = r.addr();
         m.answeredAt = outside.now();
-        return Messages.signals(term, List.of());
+        return nothing;
     }
 
     /** Takes in what a worker says. False when something newer was heard before. */
@@ -234,8 +244,9 @@
             m.noticeS = r.noticeS();
             leave(m, now);
         }
-        m.lastTasks = r.tasks();
+        m.last = r;
         m.strays = false;
+        m.asWanted = r.tasks().size() == m.claims.size(); // until a claim is found that is not as it should be
         Map<String, Report.TaskState> reported = new HashMap<>();
         for (Report.TaskState t : r.tasks()) {
             Claim c = m.claims.get(t.task());
@@ -246,11 +257,13 @@
                 nudge(m);
             }
         }
+        m.asWanted &= reported.size() == m.claims.size();
         for (Claim c : List.copyOf(m.claims.values())) {
             Report.TaskState t = reported.get(c.name);
             if (c.session < r.session()) {
                 events.gone(c, "session");
             } else if (t != null) {
+                m.asWanted &= t.stage() != Report.Stage.EXITED && !c.stopping();
                 see(m, c, t, now);
             } else if (c.stopping() && inOrder && c.durable && c.stage == null && m.accepted(term)
                     && !m.openRuns.containsKey(c.key)) {
@@ -299,7 +312,7 @@
     private List<Signal> signals(Machine m, boolean inAnswer) {
         List<Signal> signals = new ArrayList<>();
         long now = outside.now();
-        for (Report.TaskState t : m.lastTasks) {
+        for (Report.TaskState t : m.lastTasks()) {
             Claim c = m.claims.get(t.task());
             boolean claimed = c != null && c.attempt == t.attempt();
             if (claimed) {
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -488,7 +488,7 @@
     // ---- workers and peers
 
     /** Answers a report; null: not with 200. */
-    void report(Report r, Consumer<ObjectNode> reply) {
+    void report(Report r, Consumer<byte[]> reply) {
         if (active) {
             fleet.report(r, reply);
         } else {
@@ -496,6 +496,12 @@
         }
     }
 
+    /** The last that was heard from a machine; null: nothing. */
+    Report lastReport(String name) {
+        Machine m = board.machines.get(name);
+        return m == null ? null : m.last;
+    }
+
     /** Everything that piled up in a turn goes out together. */
     void endOfTurn() {
         if (!closed && leadership.sure()) {
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -71,7 +71,15 @@
     long idleSince;
     long placeAfter;
 
-    List<Report.TaskState> lastTasks = List.of();
+    /** The newest that was heard from it, in a report or in an answer; null: nothing. */
+    Report last;
+
+    /**
+     * The last report told of every claim, all of them as they should be, and of nothing else. As long as reports tell
+     * the same there is nothing to take in and nothing to say.
+     */
+    boolean asWanted;
+
     final Map<String, Claim> claims = new LinkedHashMap<>();
 
     /** Reported tasks that no claim stands for: they are killed, and nothing starts here before they are gone. */
@@ -115,6 +123,17 @@
                 && unreachedSince == 0;
     }
 
+    /** The tasks that it was last said to have. */
+    List<Report.TaskState> lastTasks() {
+        return last == null ? List.of() : last.tasks();
+    }
+
+    /** Whether a report tells nothing but that the machine is still there as it was. */
+    boolean sameAsBefore(Report r) {
+        return asWanted && r.tasks() == last.tasks() && r.session() == session && r.token() == token
+                && (r.noticeS() < 0 || noticeS >= 0) && r.zone().equals(zone) && r.addr().equals(addr);
+    }
+
     @Override
     public int compareTo(Machine other) {
         return name.compareTo(other.name);
@@ -127,6 +146,7 @@
 
     /** Counts a task that may be here, or no longer is. */
     void count(Claim claim, int sign) {
+        asWanted = false;
         boolean empty = claims.isEmpty();
         cpusUsed = empty ? 0 : cpusUsed + sign * claim.job.spec.cpus();
         gpusUsed = empty ? 0 : gpusUsed + sign * claim.job.spec.gpus();
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -5,12 +5,21 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.function.Function;
 
-/** What a worker says of itself. */
+/**
+ * What a worker says of itself.
+ *
+ * @param encoded the end of the body, from the list of tasks on; null when the list was not the last field
+ */
 public record Report(
         String machine, String addr, String type, String zone, boolean spot,
-        long session, long seq, long token, double noticeS, List<TaskState> tasks) {
+        long session, long seq, long token, double noticeS, List<TaskState> tasks, byte[] encoded) {
+
+    private static final String TASKS = "passengers";
+    private static final byte[] NO_BODY = new byte[0];
 
     /** Where a task stands on its worker. */
     public enum Stage { FETCHING, RUNNING, SAVING, EXITED }
@@ -25,8 +34,18 @@
 
     /** Reads a report's body; null when it is malformed. A missing notice reads as -1. */
     public static Report read(byte[] body) {
+        return read(body, machine -> null);
+    }
+
+    /**
+     * Reads a report's body. Most reports tell of the same tasks as the last one of their machine: a list that is the
+     * same to the byte is not read again, but taken from there.
+     *
+     * @param last the last report of a machine, or null
+     */
+    public static Report read(byte[] body, Function<String, Report> last) {
         try (JsonParser p = Wire.parser(body)) {
-            return p.nextToken() == JsonToken.START_OBJECT ? read(p) : null;
+            return p.nextToken() == JsonToken.START_OBJECT ? read(p, body, last) : null;
         } catch (IOException | RuntimeException e) {
             return null; // the decoder throws unchecked exceptions for some malformed input
         }
@@ -39,14 +58,14 @@
         }
         try (JsonParser p = node.traverse()) {
             p.nextToken();
-            return read(p);
+            return read(p, NO_BODY, machine -> null);
         } catch (IOException | RuntimeException e) {
             return null;
         }
     }
 
     /** Field by field, without building a tree: hundreds of reports arrive every second. */
-    private static Report read(JsonParser p) throws IOException {
+    private static Report read(JsonParser p, byte[] body, Function<String, Report> last) throws IOException {
         String machine = null;
         String addr = "";
         String type = "";
@@ -57,8 +76,19 @@
         long token = -1;
         double noticeS = -1;
         List<TaskState> tasks = List.of();
+        byte[] encoded = null;
+        boolean whole = false;
         for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
+            int at = name.equals(TASKS) && body.length > 0 ? Wire.position(p) : body.length;
+            Report known = at < body.length && machine != null ? last.apply(machine) : null;
+            if (known != null && known.endsAs(body, at)) {
+                tasks = known.tasks;
+                encoded = known.encoded;
+                whole = true;
+                break;
+            }
             JsonToken value = p.nextToken();
+            encoded = null;
             switch (name) {
                 case "vessel" -> machine = value == JsonToken.VALUE_STRING ? p.getText() : null;
                 case "addr" -> addr = p.getValueAsString("");
@@ -69,14 +99,22 @@
                 case "log_seq" -> seq = count(p, value);
                 case "helm" -> token = count(p, value);
                 case "recall_s" -> noticeS = value.isNumeric() ? Math.max(0, p.getDoubleValue()) : -1;
-                case "passengers" -> tasks = tasks(p, value);
+                case TASKS -> {
+                    tasks = tasks(p, value);
+                    encoded = at < body.length ? Arrays.copyOfRange(body, at, body.length) : null;
+                }
                 default -> p.skipChildren();
             }
         }
-        if (p.currentToken() != JsonToken.END_OBJECT || machine == null || session < 0 || seq < 0 || token < 0) {
+        whole |= p.currentToken() == JsonToken.END_OBJECT;
+        if (!whole || machine == null || session < 0 || seq < 0 || token < 0) {
             return null;
         }
-        return new Report(machine, addr, type, zone, spot, session, seq, token, noticeS, tasks);
+        return new Report(machine, addr, type, zone, spot, session, seq, token, noticeS, tasks, encoded);
+    }
+
+    private boolean endsAs(byte[] body, int from) {
+        return encoded != null && Arrays.equals(body, from, body.length, encoded, 0, encoded.length);
     }
 
     private static long count(JsonParser p, JsonToken value) throws IOException {
--- a/src/main/java/stileferry/protocol/Wire.java
+++ b/src/main/java/stileferry/protocol/Wire.java
@@ -52,6 +52,12 @@
         return FACTORY.createParser(bytes);
     }
 
+    /** How many bytes the parser has read; the MessagePack one tells it by the older name only, as characters. */
+    @SuppressWarnings("deprecation")
+    static int position(JsonParser p) {
+        return (int) p.getCurrentLocation().getCharOffset();
+    }
+
     /** Reads the next value with all that it holds; null at the end of the input. */
     static JsonNode tree(JsonParser p) throws IOException {
         return p.nextToken() == null ? null : value(p, 0);
--- a/src/main/java/stileferry/transport/NetworkOutside.java
+++ b/src/main/java/stileferry/transport/NetworkOutside.java
@@ -63,7 +63,11 @@
     @Override
     public void after(long delayMs, Runnable task) {
         if (!closed) {
-            thread.executeAfter(() -> owner.submit(task), Math.max(1, delayMs), TimeUnit.MILLISECONDS);
+            thread.executeAfter(() -> {
+                if (!owner.offer(task)) {
+                    owner.submit(task); // never lost: it goes behind what is queued
+                }
+            }, Math.max(1, delayMs), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -80,6 +80,7 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, idleMs / 4)
                 .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, true)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, connections)
                 .setSocketOption(Options.CONNECTION_LOW_WATER, connections - 1)
--- a/src/main/java/stileferry/transport/Owner.java
+++ b/src/main/java/stileferry/transport/Owner.java
@@ -18,6 +18,9 @@
     private Runnable afterBatch = () -> { };
     private volatile boolean closed;
 
+    /** A batch is being carried out; only looked at on the IO thread. */
+    private boolean draining;
+
     Owner(XnioIoThread thread) {
         this.thread = thread;
     }
@@ -32,18 +35,30 @@
         closed = true;
     }
 
-    /** Queues a command that may be refused when the owner is far behind. */
+    /**
+     * Takes a command that may be refused when the owner is far behind. On the IO thread, outside of any batch, it is
+     * carried out at once: to have the thread woken up by itself takes several system calls a command.
+     */
     boolean offer(Runnable command) {
         if (closed || !queue.offer(command)) {
             return false;
         }
-        schedule();
+        if (Thread.currentThread() != thread) {
+            schedule();
+        } else if (!draining) {
+            drain();
+        }
         return true;
     }
 
-    /** Queues a command that must not be lost: a reply or a timer. */
+    /** Queues a command that must not be lost and has to wait until its caller, on any thread, is done: a reply. */
     void submit(Runnable command) {
-        if (!closed && !offer(command)) {
+        if (closed) {
+            return;
+        }
+        if (queue.offer(command)) {
+            schedule();
+        } else {
             thread.execute(() -> submit(command));
         }
     }
@@ -56,6 +71,7 @@
 
     private void drain() {
         scheduled.set(false);
+        draining = true;
         for (int i = 0; i < BATCH; i++) {
             Runnable command = queue.poll();
             if (command == null) {
@@ -64,6 +80,7 @@
             run(command);
         }
         run(afterBatch);
+        draining = false;
         if (!queue.isEmpty()) {
             schedule();
         }
--- a/src/main/java/stileferry/transport/PeerServer.java
+++ b/src/main/java/stileferry/transport/PeerServer.java
@@ -29,9 +29,12 @@
                 UserServer.refuse(exchange, 400, "not a record");
                 return;
             }
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> owner.submit(() ->
-                    coordinator.peer(record, answer ->
-                            UserServer.send(exchange, 200, 0, PeerRecord.write(answer)))));
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                if (!owner.offer(() -> coordinator.peer(record, answer ->
+                        UserServer.send(exchange, 200, 0, PeerRecord.write(answer))))) {
+                    UserServer.refuse(exchange, 503, "too much to do, try again");
+                }
+            });
         });
     }
 }
--- a/src/main/java/stileferry/transport/UserServer.java
+++ b/src/main/java/stileferry/transport/UserServer.java
@@ -113,7 +113,7 @@
 
     private void report(HttpServerExchange exchange, byte[] body) {
         owned(exchange, () -> coordinator.report(body,
-                (status, node) -> send(exchange, status, 0, Wire.encode(node))));
+                (status, answer) -> send(exchange, status, 0, answer)));
     }
 
     private void owned(HttpServerExchange exchange, Runnable command) {
--- a/src/test/java/stileferry/protocol/MessagesTest.java
+++ b/src/test/java/stileferry/protocol/MessagesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -91,4 +92,41 @@
         assertEquals(503, a.status());
         assertEquals(30, a.retryAfterS());
     }
+
+    private static byte[] report(long seq, String state, boolean tasksLast) {
+        ObjectNode n = Wire.map().put("vessel", "m").put("voyage", 1)
+                .put("helm", 3);
+        if (tasksLast) {
+            n.put("log_seq", seq);
+        }
+        n.putArray("passengers").addObject().put("passenger", "job-1/0").put("launch", 7).put("tide", state);
+        return Wire.encode(tasksLast ? n : n.put("log_seq", seq));
+    }
+
+    /** Reading the same tasks again was a good part of what a leader of many machines did. */
+    @Test
+    void anUnchangedListOfTasksIsNotReadAgain() {
+        Report first = Report.read(report(1, "running", true));
+        Report second = Report.read(report(2, "running", true), machine -> first);
+        assertSame(first.tasks(), second.tasks());
+        assertEquals(2, second.seq());
+        Report changed = Report.read(report(3, "saving", true), machine -> second);
+        assertEquals(Report.Stage.SAVING, changed.tasks().get(0).stage());
+        Report unknown = Report.read(report(4, "saving", true), machine -> null);
+        assertEquals(changed.tasks(), unknown.tasks());
+        Report otherOrder = Report.read(report(5, "saving", false), machine -> changed);
+        assertEquals(changed.tasks(), otherOrder.tasks());
+        assertEquals(5, otherOrder.seq(), "fields after the list are read");
+        byte[] cut = report(6, "saving", true);
+        assertNull(Report.read(Arrays.copyOf(cut, cut.length - 1), machine -> changed));
+    }
+
+    /** A body nested without end would exhaust the stack of the one thread. */
+    @Test
+    void whatIsNestedTooDeepIsMalformed() {
+        byte[] deep = new byte[Wire.MAX_BODY];
+        Arrays.fill(deep, (byte) 0x91);
+        assertNull(Wire.decode(deep));
+        assertNull(Report.read(deep));
+    }
 }
