--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -41,6 +41,7 @@
     private final long leaseMs;
     private final long startedAt;
     private final Caretaker caretaker;
+    private final Lateness lateness;
 
     /** Workers that were sent to the leader: when, and to whom. */
     private final Cache<String, Sent> sentAway =
@@ -61,11 +62,13 @@
         this.reportMs = Math.round(settings.workers().reportS() * 1000);
         this.leaseMs = Math.round(settings.workers().leaseS() * 1000);
         this.startedAt = outside.now();
+        this.lateness = new Lateness(outside, settings.workers().reportS());
         this.caretaker = new Caretaker(outside, leadership, settings.peers());
     }
 
     /** Begins to follow or run for the leadership. */
     public void start() {
+        lateness.start();
         leadership.start();
         askTypes();
     }
@@ -85,7 +88,7 @@
 
     @Override
     public void elected(long term, long leaderRevision) {
-        leader = new Leader(settings, outside, state, leadership, ended, types, term, leaderRevision);
+        leader = new Leader(settings, outside, state, leadership, ended, types, term, leaderRevision, lateness);
     }
 
     @Override
@@ -144,7 +147,8 @@
     public void admin(String method, String path, byte[] body, Consumer<PeerRecord.Answer> reply) {
         if (path.equals("counters")) {
             Admin.view(method.equals("GET"), () -> counters.describe().put("node", settings.node())
-                    .put("leader", leadership.leader()).put("term", leadership.term()), reply);
+                    .put("leader", leadership.leader()).put("term", leadership.term())
+                    .put("late_ms", lateness.lateMs()).put("most_late_ms", lateness.mostLateMs()), reply);
         } else {
             user(PeerRecord.Ask.ADMIN, method + " " + path, body, reply);
         }
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.JobSpec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Messages.Signal;
 import stileferry.protocol.Outside;
@@ -39,6 +40,9 @@
     /** Greetings at a time on a small fleet, which must not wait for what only a large one needs. */
     private static final int LEAST_GREETINGS = 10;
 
+    /** So many times fewer greetings when there is too much to do. */
+    private static final int SLOWER_GREETINGS = 5;
+
     /** Reports come a quarter late at most. */
     private static final double PROBE_AFTER_REPORTS = 1.4;
 
@@ -63,6 +67,7 @@
     private final long term;
     private final Events events;
     private final Silences silences;
+    private final Lateness lateness;
     private final long reportMs;
     private final long leaseMs;
     private final long cancelMs;
@@ -89,8 +94,9 @@
     }
 
     Fleet(Board board, Outside outside, Leadership leadership, long term, Events events,
-            Silences silences) {
+            Silences silences, Lateness lateness) {
         this.silences = silences;
+        this.lateness = lateness;
         this.board = board;
         this.outside = outside;
         this.leadership = leadership;
@@ -222,7 +228,9 @@
         }
         if (!m.heard && r.token() < term) {
             m.unreachedSince = now; // until it shows our term: this may be a late copy of what a dead machine said
-            toAsk.add(m); // its next report would show it too, but work may be waiting
+            if (!lateness.behind()) {
+                toAsk.add(m); // its next report will show it too, but work may be waiting
+            }
         } else if (m.token < term && r.token() >= term) {
             m.unreachedSince = 0;
             events.changed();
@@ -365,6 +373,9 @@
 
     private void greetSome() {
         int some = LEAST_GREETINGS + (int) (board.machines.size() * GREET_MS / (2 * reportMs));
+        if (lateness.behind()) {
+            some = Math.max(1, some / SLOWER_GREETINGS); // most will come by themselves
+        }
         while (!closed && some > 0 && !greetings.isEmpty() && mayAsk()) {
             Machine m = greetings.poll();
             if (!m.heard && !m.deleting) {
@@ -412,7 +423,8 @@
                 return; // sockets are few; the rest goes out as answers come
             }
             nudged.remove(m);
-            if (!m.heard || m.deleting || m.addr.isEmpty() || outside.now() - m.heardAt > 2 * reportMs) {
+            if (!m.heard || m.deleting || m.addr.isEmpty() || outside.now() - m.heardAt > 2 * reportMs
+                    || lateness.behind() && !hurry(m)) {
                 continue;
             }
             List<Signal> signals = signals(m, false);
@@ -422,6 +434,19 @@
         }
     }
 
+    /**
+     * Whether a machine should hear at once what it shall do, although a command costs as much as several reports and
+     * its next report will be answered with it: critical tasks wait to start there, or a task has to make room.
+     */
+    private static boolean hurry(Machine m) {
+        for (Claim c : m.claims.values()) {
+            if (c.stopping() || c.stage == null && c.job.spec.priority() == JobSpec.Priority.CRITICAL) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Asks machines as answers come: after a change of leader, or a cut, all of them may be in doubt at once. */
     private void ask() {
         while (!toAsk.isEmpty() && mayAsk()) {
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Lateness.java
@@ -0,0 +1,56 @@
+package stileferry.coordination;
+
+import stileferry.protocol.Outside;
+
+/**
+ * How far a controller is behind with its work, as its own timers tell: a process that is given less processor time than
+ * it asks for carries them out late. What can be done in a cheaper way, if somewhat later, then is.
+ */
+final class Lateness {
+    /** Beats in a report interval. */
+    private static final int BEATS = 10;
+
+    /** Share of a report interval by which timers are late when there is too much to do. */
+    private static final double BEHIND_SHARE = 0.04;
+
+    /** How much of what was seen counts again at the next beat, so that one good moment ends nothing. */
+    private static final double REMEMBERED = 0.8;
+
+    private final Outside outside;
+    private final long beatMs;
+    private final double behindMs;
+    private double lateMs;
+    private long most;
+
+    Lateness(Outside outside, double reportS) {
+        this.outside = outside;
+        this.beatMs = Math.max(1, Math.round(1000 * reportS / BEATS));
+        this.behindMs = 1000 * reportS * BEHIND_SHARE;
+    }
+
+    /** Begins to measure. */
+    void start() {
+        long due = outside.now() + beatMs;
+        outside.after(beatMs, () -> {
+            long late = Math.max(0, outside.now() - due);
+            lateMs = Math.max(late, REMEMBERED * lateMs);
+            most = Math.max(most, late);
+            start();
+        });
+    }
+
+    /** Whether there is more to do than this process can do in time. */
+    boolean behind() {
+        return lateMs > behindMs;
+    }
+
+    /** By how much the last timers were late, in milliseconds. */
+    long lateMs() {
+        return Math.round(lateMs);
+    }
+
+    /** By how much any timer was late since the start, in milliseconds. */
+    long mostLateMs() {
+        return most;
+    }
+}
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -65,7 +65,7 @@
     private long passTookMs;
 
     Leader(Settings settings, Outside outside, StateClient state, Leadership leadership, EndedJobs ended,
-            List<MachineType> types, long term, long leaderRevision) {
+            List<MachineType> types, long term, long leaderRevision, Lateness lateness) {
         this.settings = settings;
         this.outside = outside;
         this.state = state;
@@ -76,7 +76,7 @@
         this.board = new Board(settings);
         this.board.types = types;
         this.silences = new Silences(board, outside, ledger, leadership, term);
-        this.fleet = new Fleet(board, outside, leadership, term, this, silences);
+        this.fleet = new Fleet(board, outside, leadership, term, this, silences, lateness);
         this.placement = new Placement(board);
         this.preemption = new Preemption(board, placement);
         this.provisioning = new Provisioning(board, outside, fleet, term);
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -29,6 +29,9 @@
     /** The leader key's lease in report intervals: users wait that long after a crash. */
     private static final double LIFE_IN_REPORTS = 0.6;
 
+    /** At most this share of a worker's lease: a crash must leave time to take over before tasks are lost. */
+    private static final double LIFE_IN_LEASES = 1 / 3.0;
+
     private static final long TIMER_SLACK_MS = 50;
     private static final long WATCH_MS = 10_000;
 
@@ -67,11 +70,21 @@
         this.state = state;
         this.settings = settings;
         this.listener = listener;
-        this.lifeMs = Math.max(1000, Math.min(1500, Math.round(settings.workers().reportS() * LIFE_IN_REPORTS * 1000)));
+        this.lifeMs = lifeMs(settings);
         this.ackedAt = new long[settings.peers().size()];
         this.consentedAt = outside.now(); // what a former life of this process consented to is not known
     }
 
+    /**
+     * How long the leader key's lease is. On a small share of a core 1.5 s are 0.15 s of work: a leader that was merely
+     * busy lost its lease, and the next one had so much to read and to ask that it lost it too, 76 times in five minutes.
+     */
+    static long lifeMs(Settings settings) {
+        double ample = Math.max(1000, Math.min(1500, settings.workers().reportS() * LIFE_IN_REPORTS * 1000));
+        double most = Math.max(ample, settings.workers().leaseS() * 1000 * LIFE_IN_LEASES);
+        return Math.round(Math.min(most, ample * settings.slowness()));
+    }
+
     void start() {
         look(++round);
         ping();
--- a/src/main/java/stileferry/protocol/Settings.java
+++ b/src/main/java/stileferry/protocol/Settings.java
@@ -6,6 +6,7 @@
 /**
  * What the platform hands over at the start; every figure has been checked by {@link SettingsReader}.
  *
+ * @param cores the share of a core that this controller has; 1: nothing is said of it
  * @param clockOffMs how far the time of day may be from the true time; -1: nothing is said of it
  */
 public record Settings(
@@ -22,9 +23,22 @@
         Workers workers,
         State state,
         Cloud cloud,
+        double cores,
         int maxSockets,
         double clockOffMs) {
 
+    /** The share of a core that leaves room for the times which this service sets itself. */
+    private static final double AMPLE_CORES = 0.3;
+
+    /**
+     * How many times as long this controller takes for its work as one with an ample share of a core; 1 at least. Times
+     * that it allows itself grow with it: on a tenth of a core one collection of garbage or one page of records takes as
+     * long as a lease that a larger share renews with ease.
+     */
+    public double slowness() {
+        return Math.max(1, AMPLE_CORES / cores);
+    }
+
     /** Another controller. */
     public record Peer(String node, String zone, String addr) {}
 
--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -69,6 +69,7 @@
                 new Settings.Cloud(
                         positive(cloud, "cluster.cloud.", "rps"),
                         atLeast(cloud, "cluster.cloud.", "list_lag_s", 0)),
+                limits.path("cores").isMissingNode() ? 1 : positive(limits, "cluster.machine_limits.", "cores"),
                 (int) atLeast(limits, "cluster.machine_limits.", "max_sockets", 16),
                 cluster.path("clock_off_ms").isMissingNode() ? -1 : atLeast(cluster, "cluster.", "clock_off_ms", 0));
     }
--- a/src/main/java/stileferry/storage/StateClient.java
+++ b/src/main/java/stileferry/storage/StateClient.java
@@ -21,12 +21,16 @@
     private static final double GATHER_S = 0.15;
     private static final long PUMP_MS = 20;
 
+    /** An answer that waits for this process to read it is no lost one. */
+    private static final long AMPLE_PATIENCE_MS = 1500;
+
     private final Outside outside;
     private final String addr;
     private final Settings.State limits;
     private final Budget requests;
     private final Budget writes;
     private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+    private final long patienceMs;
     private boolean pumping;
 
     private record Waiting(int writeCount, Runnable send) {}
@@ -42,6 +46,7 @@
         this.outside = outside;
         this.addr = settings.stateAddr();
         this.limits = settings.state();
+        this.patienceMs = Math.round(AMPLE_PATIENCE_MS * settings.slowness());
         this.requests = new Budget(outside, limits.rps() * SHARE, 0.5);
         this.writes = new Budget(outside, limits.writeRps() * SHARE, 1.0);
     }
@@ -73,7 +78,7 @@
 
     /** How long an ordinary answer is waited for. */
     public long patienceMs() {
-        return 1500;
+        return patienceMs;
     }
 
     /** Reads one key. */
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -24,7 +24,7 @@
         Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za"),
                 List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)),
                 List.of(new Settings.Objective("wait", "swift", 0.5, 0.9)),
-                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100, 5);
+                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 1, 100, 5);
         board = new Board(settings);
         board.types = List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za")));
         placement = new Placement(board);
--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -21,7 +21,7 @@
         node.start();
         World.SimOutside outside = node.outside;
         Board board = new Board(node.settings);
-        Fleet fleet = new Fleet(board, outside, null, 1, null, null);
+        Fleet fleet = new Fleet(board, outside, null, 1, null, null, new Lateness(outside, 1));
         Provisioning provisioning = new Provisioning(board, outside, fleet, 1);
         provisioning.list();
         w.play(1);
@@ -47,7 +47,7 @@
         node.start();
         World.SimOutside outside = node.outside;
         Board board = new Board(node.settings);
-        Fleet fleet = new Fleet(board, outside, null, 1, null, null);
+        Fleet fleet = new Fleet(board, outside, null, 1, null, null, new Lateness(outside, 1));
         MachineType box = new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za"));
         Job job = new Job(new JobSpec("job-1", "any", "red", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 9, 1, 0, 1, "img",
                 1, null, null, false, false, true, 10, 0, 0, -1), 1, 0, 0);
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -57,6 +57,7 @@
         w.slow.clear();
         w.peersRefuse = false;
         w.slowStoreMs = 0;
+        w.turnMs.clear();
         w.lostAnswers = 0;
         w.quietSince = w.now;
         w.play(90); // until every submission has been answered or given up
@@ -75,7 +76,7 @@
         List<String> machines = w.cloud.up();
         String machine = machines.isEmpty() ? null : machines.get(r.nextInt(machines.size()));
         String addr = "w-" + machine + ":1";
-        switch (r.nextInt(18)) {
+        switch (r.nextInt(20)) {
             case 0, 1 -> restart(w, node, r.nextBoolean() ? 300 : 5000);
             case 2 -> nodes.forEach(n -> restart(w, n, 1000 + r.nextLong(4000)));
             case 3 -> w.cut(node.settings.node(), 1000 + r.nextLong(20_000));
@@ -130,6 +131,12 @@
                     w.after(r.nextLong(15_000), () -> restart(w, leader, r.nextBoolean() ? 200 : 5000));
                 }
             }
+            case 18, 19 -> { // one controller, or all of them, is given little processor time
+                for (World.Node slow : r.nextBoolean() ? nodes : List.of(node)) {
+                    w.turnMs.put(slow.settings.node(), 5 + r.nextLong(60));
+                }
+                w.after(1000 + r.nextLong(30_000), w.turnMs::clear);
+            }
             case 14 -> { // back at once, while the others may just be choosing a leader
                 nodes.forEach(n -> restart(w, n, 100 + r.nextLong(200)));
                 w.after(500 + r.nextLong(2000), () -> restart(w, node, 100));
@@ -159,6 +166,36 @@
         assertTrue(w.starts > 20, "too little happened: " + w.starts + " starts");
     }
 
+    /**
+     * A leader on a tenth of a core got ever further behind in a burst: each start was a command of its own, though the
+     * machine's next report would have fetched it for nothing. Critical tasks still hear at once.
+     */
+    @Test
+    void aLeaderThatIsBehindSparesCommands() {
+        int[] commands = new int[2];
+        for (int slow = 0; slow < 2; slow++) {
+            World w = new World(77);
+            w.play(3);
+            w.submit(array(1, "any", JobSpec.Priority.NORMAL, 8, 1));
+            w.play(25);
+            if (slow == 1) {
+                w.nodes.keySet().forEach(name -> w.turnMs.put(name, 50L));
+            }
+            w.play(5);
+            int before = w.commandsSent;
+            for (int i = 10; i < 16; i++) {
+                w.submit(array(i, "any", JobSpec.Priority.NORMAL, 4, 3));
+            }
+            w.play(30);
+            commands[slow] = w.commandsSent - before;
+            assertEquals(List.of(), w.violations);
+            for (World.User u : w.users.values()) {
+                assertEquals("done", u.end, u.spec.id());
+            }
+        }
+        assertTrue(commands[1] < commands[0] / 2, commands[1] + " commands instead of " + commands[0]);
+    }
+
     private static JobSpec service(int number, int tasks, double cpus) {
         return new JobSpec("job-" + number, "any", "free", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, tasks, cpus, 0,
                 1, "img", 1, null, null, false, false, false, 0, 0, 0, -1);
--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -22,7 +22,7 @@
         Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za", "zb"),
                 List.of(new Settings.Team("red", 0, 0, 0, 0)),
                 List.of(new Settings.Objective("wait", "quick", 2, 0.9)),
-                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 100, 5);
+                new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 1, 100, 5);
         Board board = new Board(settings);
         board.types = List.of(new MachineType("small", 8, 0, 32, 9, 0.3, 1, 0.4, 10, List.of("za", "zb")),
                 new MachineType("large", 16, 0, 64, 9, 0.3, 2, 0.8, 10, List.of("za", "zb")));
@@ -212,7 +212,7 @@
         };
         World.Node node = w.nodes.get("n0");
         node.start();
-        Fleet fleet = new Fleet(board, node.outside, null, 1, null, null);
+        Fleet fleet = new Fleet(board, node.outside, null, 1, null, null, new Lateness(node.outside, 1));
         fleet.greetAll();
         w.play(20);
         int commands = board.settings.sockets().commands();
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -66,6 +66,9 @@
     /** What the state service's answers take longer, at most. */
     long slowStoreMs;
 
+    /** Controllers that have little processor time, with the milliseconds that each of their turns takes. */
+    final Map<String, Long> turnMs = new HashMap<>();
+
     /** The share of reports of which a copy arrives once more, seconds to well over a lease later, anywhere. */
     double lateCopies;
 
@@ -82,6 +85,9 @@
     private final long reportMs;
     private final long leaseMs;
     int starts;
+
+    /** Direct commands that reached a worker. */
+    int commandsSent;
     int finished;
     int ended;
 
@@ -288,11 +294,25 @@
         boolean dead;
         String logLevel = "default";
 
+        private long busyUntil;
+
         SimOutside(Node node) {
             this.node = node;
         }
 
+        /** Carries a command out; a slow owner is busy for a while with each, and the next ones wait. */
         void turn(Runnable command) {
+            long takes = turnMs.getOrDefault(node.settings.node(), 0L);
+            long wait = Math.max(0, busyUntil - World.this.now);
+            busyUntil = World.this.now + wait + takes;
+            if (wait > 0) {
+                World.this.after(wait, () -> carryOut(command));
+            } else {
+                carryOut(command);
+            }
+        }
+
+        private void carryOut(Runnable command) {
             if (!dead) {
                 command.run();
                 node.coordinator.endOfBatch();
@@ -348,6 +368,7 @@
                 Worker w = workers.get(addr);
                 exchange(me, addr, timeoutMs, w != null && heldUntil(me, addr) <= now, r -> {
                     if (workers.get(addr) == w) {
+                        commandsSent++;
                         int status = w.commands(copy);
                         r.done(status, status == 400 ? null : w.report());
                     }
--- a/src/test/java/stileferry/protocol/SettingsReaderTest.java
+++ b/src/test/java/stileferry/protocol/SettingsReaderTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -56,4 +57,15 @@
         assertEquals(1, SettingsReader.read("not json").problems().size());
         assertEquals(1, SettingsReader.read("[]").problems().size());
     }
+
+    /** On a tenth of a core, leaders lost their leases by being busy. */
+    @Test
+    void aSmallShareOfACoreMakesTimesLonger() {
+        Settings ample = SettingsReader.read(GOOD).settings();
+        assertEquals(1, ample.slowness());
+        Settings small = SettingsReader.read(GOOD.replace("\"max_sockets\"", "\"cores\":0.1,\"max_sockets\"")).settings();
+        assertEquals(3, small.slowness(), 1e-9);
+        assertEquals(List.of("cluster.machine_limits.cores: must be above 0"),
+                SettingsReader.read(GOOD.replace("\"max_sockets\"", "\"cores\":0,\"max_sockets\"")).problems());
+    }
 }
