--- a/src/main/java/stileferry/protocol/Wire.java
+++ b/src/main/java/stileferry/protocol/Wire.java
@@ -77,6 +77,9 @@
                         throw new IOException("a field is given twice");
                     }
                 }
+                if (p.currentToken() != JsonToken.END_OBJECT) {
+                    throw new IOException("a map has what is no name in the place of one");
+                }
                 return map;
             }
             case START_ARRAY: {
--- a/src/main/java/stileferry/transport/LogLevel.java
+++ b/src/main/java/stileferry/transport/LogLevel.java
@@ -7,11 +7,6 @@
 
 /** How much is logged, now; the logging of the platform is behind SLF4J since it can be changed while it runs. */
 public final class LogLevel {
-    static {
-        // Read when the first logger is made.
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s - %5$s%6$s%n");
-    }
-
     private static final Map<String, Level> LEVELS =
             Map.of("error", Level.SEVERE, "info", Level.INFO, "debug", Level.FINE);
 
@@ -26,6 +21,8 @@
 
     /** Sets the level that the process starts with and returns to: error, info or debug; info when there is none. */
     public static void start(String level) {
+        // read when the platform makes its handlers, which is below
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s - %5$s%6$s%n");
         preset = level == null ? Level.INFO : LEVELS.getOrDefault(level.toLowerCase(Locale.ROOT), Level.INFO);
         for (Logger logger : QUIET) {
             logger.setLevel(Level.SEVERE);
--- a/src/main/java/stileferry/transport/Owner.java
+++ b/src/main/java/stileferry/transport/Owner.java
@@ -72,15 +72,18 @@
     private void drain() {
         scheduled.set(false);
         draining = true;
-        for (int i = 0; i < BATCH; i++) {
-            Runnable command = queue.poll();
-            if (command == null) {
-                break;
+        try {
+            for (int i = 0; i < BATCH; i++) {
+                Runnable command = queue.poll();
+                if (command == null) {
+                    break;
+                }
+                run(command);
             }
-            run(command);
+            run(afterBatch);
+        } finally {
+            draining = false; // also after an error that is not caught here, else nothing would ever be carried out again
         }
-        run(afterBatch);
-        draining = false;
         if (!queue.isEmpty()) {
             schedule();
         }
