--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -27,9 +27,6 @@
     /** Passes rest for so many times as long as they take, so that reports and renewals get their turns. */
     private static final long PASS_REST = 5;
 
-    /** Renting and emptying rest for longer: they go over all that waits and all machines, and little hangs on a second. */
-    private static final long HOUSEKEEPING_REST = 10;
-
     /** Transactions that may wait for the state service before no more is taken. */
     private static final int BACKLOG_TRANSACTIONS = 4;
 
@@ -66,8 +63,6 @@
     private boolean passAsked;
     private boolean socketsAreFew;
     private long passTookMs;
-    private long keptHouseAt;
-    private long housekeepingTookMs;
 
     Leader(Settings settings, Outside outside, StateClient state, Leadership leadership, EndedJobs ended,
             List<MachineType> types, long term, long leaderRevision, Lateness lateness) {
@@ -288,21 +283,19 @@
             return;
         }
         long now = outside.now();
-        boolean housekeeps = regular && settled() && now - keptHouseAt >= HOUSEKEEPING_REST * housekeepingTookMs;
         boolean preempts = settled() && board.options.flag(Options.PREEMPTION);
         List<Job> waiting = placement.pass(now, outside.timeOfDay(), preempts, this::start);
         if (preempts) {
             makeRoom(waiting, now);
         }
         waiting.removeIf(job -> placement.keptBack(job, now)); // nothing is rented for it, and it is no lack of room
-        if (housekeeps) {
-            long from = outside.now();
-            if (!waiting.isEmpty()) {
+        if (settled() && !waiting.isEmpty()) {
+            if (regular) {
                 provisioning.rent(waiting);
             }
+        }
+        if (regular && settled()) {
             consolidation.step(waiting, now);
-            keptHouseAt = outside.now();
-            housekeepingTookMs = keptHouseAt - from;
         }
     }
 
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -26,11 +26,10 @@
     /** After so many times as long as a job was kept back for its image, it may be so again. */
     private static final int KEPT_BACK_AGAIN = 8;
 
-    /** Starts of one turn with an ample share of a core; more go on in the next, so that reports are not late. */
+    /** Starts of one turn; more go on in the next, so that reports and renewals are not late. */
     private static final int STARTS_A_TURN = 400;
 
     private final Board board;
-    private final int startsATurn;
     private boolean cutShort;
     private boolean keptBack;
 
@@ -63,7 +62,6 @@
 
     Placement(Board board) {
         this.board = board;
-        this.startsATurn = (int) Math.ceil(STARTS_A_TURN / board.settings.slowness());
     }
 
     /** Marks the jobs that fit into their team's guarantee together with the team's earlier jobs. */
@@ -123,7 +121,7 @@
         boolean again = false;
         Job keptFor = null;
         Machine kept = null;
-        while (left > 0 && starts < startsATurn) {
+        while (left > 0 && starts < STARTS_A_TURN) {
             int at = 0;
             if (open.get(0) == null) {
                 at = -1;
