--- a/src/main/java/stileferry/coordination/Lateness.java
+++ b/src/main/java/stileferry/coordination/Lateness.java
@@ -10,8 +10,11 @@
     /** Beats in a report interval. */
     private static final int BEATS = 10;
 
-    /** Share of a report interval by which timers are late when there is too much to do. */
-    private static final double BEHIND_SHARE = 0.04;
+    /**
+     * Share of a report interval by which timers are late when there is too much to do. At 0.04 a quiet day counted as
+     * such, and machines were paid for while they waited for their next reports.
+     */
+    private static final double BEHIND_SHARE = 0.2;
 
     /** How much of what was seen counts again at the next beat, so that one good moment ends nothing. */
     private static final double REMEMBERED = 0.8;
