Cancellations are told to other controllers before users hear; who is not sure to lead renews only with knowledge

Cause: a leader that the state service refuses renewed leases without end and knew nothing of cancellations that another leader confirmed; a leader that was not sure sent no stops; one that had not read its records, and caretakers, renewed without knowing what was cancelled. Now a cancellation is confirmed when a majority knows it (behind the known fields of a peer's Term record, which older controllers skip), and stops for cancelled jobs go out whoever leads.

--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -15,8 +15,9 @@
 /**
  * Keeps workers' leases alive while nobody can lead, as when the state service is down and the leader has crashed.
  *
- * <p>A report may be answered with the worker's own token, and without commands, once every other controller has said,
- * after the report arrived, that it does not lead. A leader of that token is then gone for good, since nobody resumes a
+ * <p>A report may be answered with the worker's own token, and without commands but stops of cancelled jobs' tasks, once
+ * every other controller has said, after the report arrived, that it does not lead, and enough of them are informed to
+ * know every cancellation together ({@link Cancellations}). A leader of that token is then gone for good, since nobody resumes a
  * term and later terms are higher; so nobody counts on that lease lapsing. A later leader counts a lapse only from when
  * the worker accepted its term, or every controller acknowledged it.
  */
@@ -54,35 +55,45 @@
         waiting = new ArrayList<>();
         int[] open = {peers.size()};
         boolean[] alone = {true};
+        int[] informed = {0};
         leadership.consent();
-        for (Settings.Peer peer : peers) {
-            outside.peer(peer, leadership.words(), ANSWER_MS, record -> {
+        for (int i = 0; i < peers.size(); i++) {
+            outside.peer(peers.get(i), leadership.words(i), ANSWER_MS, record -> {
                 if (record instanceof PeerRecord.Term t) {
                     leadership.learn(t);
+                    leadership.cancellations().heard(t, false);
                     alone[0] &= !t.leading();
+                    informed[0] += t.knowledge() != null && t.knowledge().informed() ? 1 : 0;
                 } else {
                     alone[0] = false; // silence does not say that it doesn't lead
                 }
                 if (--open[0] == 0) {
-                    answer(batch, alone[0] && !leadership.leading());
+                    answer(batch, alone[0] && entitled(informed[0]));
                 }
             });
         }
         if (peers.isEmpty()) {
-            answer(batch, !leadership.leading());
+            answer(batch, entitled(0));
         }
     }
 
+    /** Nobody here leads either, and together the processes know every cancellation. */
+    private boolean entitled(int informedPeers) {
+        int informed = informedPeers + (leadership.cancellations().informed() ? 1 : 0);
+        return !leadership.leading() && informed >= Cancellations.enough(peers.size() + 1);
+    }
+
     private void answer(List<Waiting> batch, boolean entitled) {
         asking = false;
         if (entitled != active) {
             active = entitled;
-            LOG.info(entitled ? "nobody leads, all controllers agree: keeping workers' leases alive"
+            LOG.info(entitled ? "nobody leads and no cancellation is unknown, all controllers agree: keeping workers' leases alive"
                     : "no longer keeping workers' leases alive");
         }
         for (Waiting w : batch) {
             if (entitled) {
-                w.reply.accept(200, Wire.encode(Messages.signals(w.report.token(), List.of())));
+                w.reply.accept(200, Wire.encode(Messages.signals(w.report.token(),
+                        leadership.cancellations().stops(w.report))));
             } else {
                 w.reply.accept(503, Wire.encode(Messages.error("no leader known")));
             }
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -128,6 +128,9 @@
     }
 
     private boolean mayAnswer(Report r) {
+        if (!leadership.mayRenew()) {
+            return false; // another leader may have confirmed cancellations that are unknown here
+        }
         if (board.deleted.contains(r.machine())) {
             return false; // sent before the machine was deleted
         }
@@ -153,7 +156,7 @@
         doubt(m, r);
         boolean fresh = take(m, r, true);
         m.answeredAt = outside.now();
-        List<Signal> signals = fresh && leadership.sure() ? signals(m, true) : List.of();
+        List<Signal> signals = fresh ? signals(m, true) : List.of();
         m.answeredRuns = keys(signals);
         return signals.isEmpty() ? nothing : Wire.encode(Messages.signals(term, signals));
     }
@@ -199,12 +202,13 @@
         return keys;
     }
 
-    /** Answers a report before the claims have been read: the lease is renewed, nothing is asked for. */
+    /** Answers a report before the claims have been read: the lease is renewed, and cancelled jobs are stopped. */
     byte[] hold(Report r) {
         Machine m = board.machine(r.machine());
         m.addr = r.addr();
         m.answeredAt = outside.now();
-        return nothing;
+        List<Signal> stops = leadership.cancellations().stops(r);
+        return stops.isEmpty() ? nothing : Wire.encode(Messages.signals(term, stops));
     }
 
     /** Takes in what a worker says. False when something newer was heard before. */
@@ -316,9 +320,13 @@
         events.changed();
     }
 
-    /** All that the worker should do and has not been seen to have done. */
+    /** All that the worker should do and has not been seen to have done; as far as this node is sure to lead. */
     private List<Signal> signals(Machine m, boolean inAnswer) {
         List<Signal> signals = new ArrayList<>();
+        if (!leadership.sure()) {
+            stopCancelled(m, signals);
+            return signals;
+        }
         long now = outside.now();
         for (Report.TaskState t : m.lastTasks()) {
             Claim c = m.claims.get(t.task());
@@ -356,6 +364,19 @@
         return signals;
     }
 
+    private static boolean hasCancelled(Machine m) {
+        return m.claims.values().stream().anyMatch(c -> c.job.cancelDurable);
+    }
+
+    /** Whoever leads, a job whose cancellation is durable stays cancelled, and its tasks have to go. */
+    private static void stopCancelled(Machine m, List<Signal> signals) {
+        for (Claim c : m.claims.values()) {
+            if (c.job.cancelDurable && c.stopping() && c.session == m.session && c.stage != Report.Stage.EXITED) {
+                signals.add(new Signal(Signal.Kind.KILL, c.name, c.attempt, 0));
+            }
+        }
+    }
+
     /** Wants commands to go out to this machine without waiting for its next report. */
     void nudge(Machine m) {
         nudged.add(m);
@@ -408,10 +429,13 @@
 
     /** Sends what was wanted since the last turn; machines not heard lately get it in answer to their reports. */
     void send() {
-        if (closed || !leadership.sure()) {
+        if (closed) {
             return;
         }
-        ask();
+        boolean sure = leadership.sure();
+        if (sure) {
+            ask();
+        }
         if (nudged.isEmpty()) {
             return;
         }
@@ -422,6 +446,9 @@
             if (inFlight.size() >= maxInFlight) {
                 return; // sockets are few; the rest goes out as answers come
             }
+            if (!sure && !hasCancelled(m)) {
+                continue; // all else waits until this node is sure again
+            }
             nudged.remove(m);
             if (!m.heard || m.deleting || m.addr.isEmpty() || outside.now() - m.heardAt > 2 * reportMs
                     || lateness.behind() && !hurry(m)) {
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -51,6 +51,9 @@
     boolean accepted;
     boolean cancelled;
     boolean cancelDurable;
+
+    /** Enough controllers know that it is cancelled, so users may hear it. */
+    boolean cancelTold;
     boolean ending;
 
     /** Its end is durable. */
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -58,6 +58,10 @@
     private long numbers;
     private Admin admin;
     private boolean active;
+
+    /** The jobs were read, so that all cancellations before this term are known. */
+    private boolean cancellationsRead;
+
     private long activeAt;
     private boolean closed;
     private boolean passAsked;
@@ -148,12 +152,25 @@
             if (read.rows() == null) {
                 outside.after(300, this::load);
             } else {
+                if (prefixes.get(0).equals(Job.PREFIX)) {
+                    cancelledBefore(read.rows());
+                }
                 done.add(read.rows());
                 read(prefixes.subList(1, prefixes.size()), done);
             }
         });
     }
 
+    /** From here on leases may be renewed, long before all records have been read: what is to be stopped is known. */
+    private void cancelledBefore(List<StateClient.Row> jobs) {
+        for (StateClient.Row row : jobs) {
+            if (row.value().path("cancelled").asBoolean()) {
+                leadership.cancellations().add(row.key().substring(Job.PREFIX.length()));
+            }
+        }
+        cancellationsRead = true;
+    }
+
     private void loadOptions(List<List<StateClient.Row>> rows) {
         state.get(Admin.KEY, (status, body) -> {
             if (closed) {
@@ -212,12 +229,12 @@
         LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, board.jobs.size(), claims.size());
         for (Job job : List.copyOf(board.jobs.values())) {
             if (job.cancelled) {
-                stopAll(job);
-                endIfOver(job);
+                cancelDurable(job);
             } else if (job.unfinished() == 0) {
                 end(job, "done");
             }
         }
+        leadership.cancellations().allRead();
         provisioning.list();
         tick();
     }
@@ -456,12 +473,6 @@
         }
     }
 
-    private void endIfOver(Job job) {
-        if (job.claims.isEmpty()) {
-            end(job, "cancelled");
-        }
-    }
-
     private void end(Job job, String how) {
         end(job, how, null);
     }
@@ -476,6 +487,7 @@
         Ledger.Entry entry = new Ledger.Entry(Job.endedKey(job.spec.id()), 0, record::write);
         ledger.move(entry, job.record, () -> {
             job.over = true;
+            leadership.cancellations().over(job.spec.id());
             board.jobs.remove(job.spec.id());
             ended.put(job.spec.id(), record);
             users.answer(job, Users.ok(200, record.answer(job.spec.id())));
@@ -492,7 +504,8 @@
         if (active) {
             fleet.report(r, reply);
         } else {
-            reply.accept(fleet.hold(r));
+            boolean known = cancellationsRead || leadership.cancellations().knowsWhatWasBefore();
+            reply.accept(known && leadership.mayRenew() ? fleet.hold(r) : null);
         }
     }
 
@@ -504,10 +517,13 @@
 
     /** Everything that piled up in a turn goes out together. */
     void endOfTurn() {
-        if (!closed && leadership.sure()) {
+        if (closed) {
+            return;
+        }
+        if (leadership.sure()) {
             ledger.flush();
-            fleet.send();
         }
+        fleet.send();
     }
 
     // ---- users
@@ -547,11 +563,20 @@
             end(job, "cancelled");
             return;
         }
-        ledger.put(job.record, () -> {
-            job.cancelDurable = true;
+        ledger.put(job.record, () -> cancelDurable(job));
+    }
+
+    /** Its user hears of it when enough controllers know: whoever renews leases may have to stop its tasks. */
+    private void cancelDurable(Job job) {
+        job.cancelDurable = true;
+        stopAll(job);
+        if (job.claims.isEmpty()) {
+            end(job, "cancelled");
+            return;
+        }
+        leadership.tellCancelled(job.spec.id(), () -> {
+            job.cancelTold = true;
             users.answer(job, users.state(job, 200));
-            stopAll(job);
-            endIfOver(job);
         });
     }
 }
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -33,14 +33,22 @@
     private static final double LIFE_IN_LEASES = 1 / 3.0;
 
     private static final long TIMER_SLACK_MS = 50;
+
+    /** A worker that notices its lease's end late, and has much to end. */
+    private static final long RENEW_SLACK_MS = 1000;
+
     private static final long WATCH_MS = 10_000;
+    private static final long ANNOUNCE_MS = 1000;
 
     private final Outside outside;
     private final StateClient state;
     private final Settings settings;
     private final Listener listener;
     private final long lifeMs;
+    private final long renewMs;
     private final long[] ackedAt;
+    private final boolean[] telling;
+    private final Cancellations cancellations;
 
     private long term;
     private String leader = "";
@@ -71,7 +79,10 @@
         this.settings = settings;
         this.listener = listener;
         this.lifeMs = lifeMs(settings);
+        this.renewMs = renewMs(settings);
         this.ackedAt = new long[settings.peers().size()];
+        this.telling = new boolean[settings.peers().size()];
+        this.cancellations = new Cancellations(outside, settings);
         this.consentedAt = outside.now(); // what a former life of this process consented to is not known
     }
 
@@ -85,6 +96,16 @@
         return Math.round(Math.min(most, ample * settings.slowness()));
     }
 
+    /**
+     * For how long after a moment leases may be renewed whatever was confirmed later: a lease renewed then ends, with all
+     * clocks against us, within a cancellation's time after that moment.
+     */
+    private static long renewMs(Settings settings) {
+        double cancelMs = 1000 * settings.workers().cancelS();
+        double leaseMs = 1000 * settings.workers().leaseS();
+        return Math.round(cancelMs - leaseMs - DRIFT * (cancelMs + leaseMs)) - RENEW_SLACK_MS;
+    }
+
     void start() {
         look(++round);
         ping();
@@ -103,6 +124,27 @@
         return leading && outside.now() < sureUntil;
     }
 
+    /**
+     * Whether workers' leases may be renewed by this leader. While it is sure, nobody else confirms cancellations. Later
+     * another leader may, and a task must not outlive that on a lease which this one renews. So it goes on only while
+     * enough other controllers say that there is no other leader, and for as long as what it renews will still lapse
+     * in time.
+     */
+    boolean mayRenew() {
+        return sure() || leading && outside.now() < Math.max(sureUntil, cancellations.nothingMissedUntil()) + renewMs;
+    }
+
+    /** What this process knows of cancelled jobs. */
+    Cancellations cancellations() {
+        return cancellations;
+    }
+
+    /** Tells the other controllers at once that a job's cancellation is durable; the action runs when enough know. */
+    void tellCancelled(String id, Runnable then) {
+        cancellations.confirm(id, then);
+        tell();
+    }
+
     /** The leader's name; empty when nobody is known to lead. */
     String leader() {
         return leading ? settings.node() : leader;
@@ -139,10 +181,11 @@
     /** Takes what another controller says and answers with what this one knows. */
     PeerRecord.Term hear(PeerRecord.Term heard) {
         learn(heard);
+        cancellations.heard(heard, heard.term() >= term);
         if (!heard.leading() && !leading) {
             consent(); // who does not lead asks only for that
         }
-        return words();
+        return new PeerRecord.Term(term, leader(), leading, cancellations.answer(heard));
     }
 
     /** Takes in that a caretaker may answer reports that were sent until now. */
@@ -155,9 +198,9 @@
         return consentedAt;
     }
 
-    /** What this controller tells others. */
-    PeerRecord.Term words() {
-        return new PeerRecord.Term(term, leader(), leading);
+    /** What this controller tells another one. */
+    PeerRecord.Term words(int peer) {
+        return new PeerRecord.Term(term, leader(), leading, cancellations.words(peer, sure()));
     }
 
     /** Takes another controller's words. Only a leader speaks for itself: whom others believe in may be long gone. */
@@ -196,6 +239,7 @@
 
     private void stepDown() {
         leading = false;
+        cancellations.end();
         sureUntil = 0;
         leader = "";
         listener.deposed();
@@ -311,6 +355,7 @@
         lease = wonLease;
         ledSince = outside.now();
         java.util.Arrays.fill(ackedAt, -1);
+        cancellations.begin();
         sureUntil = 0;
         trust(sentAt);
         LOG.info("leading in term {}", term);
@@ -359,17 +404,37 @@
     }
 
     private void announce() {
-        long told = term;
         for (int i = 0; i < ackedAt.length; i++) {
-            int peer = i;
-            outside.peer(settings.peers().get(i), words(), 1000, record -> {
-                if (record instanceof PeerRecord.Term answer) {
-                    if (leading && term == told && answer.term() == told && ackedAt[peer] < 0) {
+            announce(i);
+        }
+    }
+
+    /** Tells those who have not been told of a cancellation; what comes up meanwhile goes out together. */
+    private void tell() {
+        for (int i = 0; i < ackedAt.length && leading; i++) {
+            if (!telling[i] && cancellations.tells(i)) {
+                announce(i);
+            }
+        }
+    }
+
+    private void announce(int peer) {
+        long told = term;
+        long sentAt = outside.now();
+        PeerRecord.Term words = words(peer);
+        telling[peer] = true;
+        outside.peer(settings.peers().get(peer), words, ANNOUNCE_MS, record -> {
+            telling[peer] = false;
+            if (record instanceof PeerRecord.Term answer) {
+                if (leading && term == told) {
+                    if (answer.term() == told && ackedAt[peer] < 0) {
                         ackedAt[peer] = outside.now();
                     }
-                    learn(answer);
+                    cancellations.answered(peer, answer, sentAt, told, words.knowledge());
                 }
-            });
-        }
+                learn(answer);
+                tell();
+            }
+        });
     }
 }
--- a/src/main/java/stileferry/coordination/Users.java
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -107,7 +107,7 @@
 
     /** Where a job stands, as its user may hear it. */
     PeerRecord.Answer state(Job job, int status) {
-        if (!job.accepted || job.cancelled && !job.cancelDurable) {
+        if (!job.accepted || job.cancelled && !job.cancelTold) {
             return unavailable(); // the outcome of what would change the answer is not known yet
         }
         int running = job.cancelled ? 0 : job.runningCount();
@@ -247,10 +247,16 @@
         }
         lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
             Job meanwhile = board.jobs.get(id);
-            reply.accept(meanwhile != null ? state(meanwhile, 200) : refusal(404, "no such job"));
+            reply.accept(meanwhile != null ? state(meanwhile, 200) : endedMeanwhile(id));
         }, () -> reply.accept(unavailable()));
     }
 
+    /** The answer about a job that is not alive and had not ended when that was asked: it may have lived in between. */
+    private PeerRecord.Answer endedMeanwhile(String id) {
+        EndedJobs.Ended now = ended.get(id);
+        return now == null ? refusal(404, "no such job") : ok(200, now.answer(id));
+    }
+
     void withdraw(String id, Consumer<PeerRecord.Answer> reply) {
         if (!lead.serving()) {
             reply.accept(unavailable());
@@ -261,11 +267,11 @@
             reply.accept(unavailable());
         } else if (job == null) {
             lookUp(id, e -> reply.accept(ok(200, e.answer(id))),
-                    () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : refusal(404, "no such job")),
+                    () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : endedMeanwhile(id)),
                     () -> reply.accept(unavailable()));
         } else if (!job.accepted) {
             reply.accept(unavailable());
-        } else if (job.cancelDurable) {
+        } else if (job.cancelTold) {
             reply.accept(state(job, 200));
         } else {
             await(job, reply); // answered when the job's end, or the cancellation, is durable
--- a/src/main/java/stileferry/protocol/PeerRecord.java
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -6,6 +6,8 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /** What controllers send one another, as {@link DataOutputStream} records. */
 public sealed interface PeerRecord {
@@ -20,7 +22,27 @@
     record Answer(int status, int retryAfterS, byte[] body) implements PeerRecord {}
 
     /** The highest term its sender knows, who leads in it (empty: nobody known), and whether the sender does. */
-    record Term(long term, String leader, boolean leading) implements PeerRecord {}
+    record Term(long term, String leader, boolean leading, Knowledge knowledge) implements PeerRecord {
+        /** A term of the older form, which says nothing of cancellations. */
+        public Term(long term, String leader, boolean leading) {
+            this(term, leader, leading, null);
+        }
+    }
+
+    /**
+     * What the sender of a term knows of cancelled jobs. Controllers of version 0.1 neither write this nor read it: it
+     * stands behind all that they know.
+     *
+     * @param process tells the sender's process from its former lives
+     * @param addressee the process that the sender takes the receiver for; 0: not known
+     * @param informed whether the sender counts as informed, see {@code Cancellations}
+     * @param complete whether the sender leads for sure and names every cancellation that may have been confirmed
+     * @param cancelled the jobs
+     */
+    record Knowledge(long process, long addressee, boolean informed, boolean complete, List<String> cancelled) {}
+
+    /** Jobs that one record may name; a complete list is no longer. */
+    int MOST_CANCELLED = 2000;
 
     /** Writes a record. */
     static byte[] write(PeerRecord record) {
@@ -41,6 +63,9 @@
                 out.writeLong(t.term());
                 out.writeUTF(t.leader());
                 out.writeBoolean(t.leading());
+                if (t.knowledge() != null) {
+                    write(out, t.knowledge());
+                }
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -62,7 +87,8 @@
                 case 2:
                     return new Answer(in.readShort(), in.readInt(), readBytes(in));
                 case 3:
-                    return new Term(in.readLong(), in.readUTF(), in.readBoolean());
+                    return new Term(in.readLong(), in.readUTF(), in.readBoolean(),
+                            in.available() > 0 ? readKnowledge(in) : null);
                 default:
                     return null;
             }
@@ -71,6 +97,33 @@
         }
     }
 
+    private static void write(DataOutputStream out, Knowledge k) throws IOException {
+        out.writeLong(k.process());
+        out.writeLong(k.addressee());
+        out.writeBoolean(k.informed());
+        out.writeBoolean(k.complete());
+        out.writeShort(k.cancelled().size());
+        for (String id : k.cancelled()) {
+            out.writeUTF(id);
+        }
+    }
+
+    private static Knowledge readKnowledge(DataInputStream in) throws IOException {
+        long process = in.readLong();
+        long addressee = in.readLong();
+        boolean informed = in.readBoolean();
+        boolean complete = in.readBoolean();
+        int count = in.readUnsignedShort();
+        if (count > MOST_CANCELLED) {
+            throw new IOException("bad length");
+        }
+        List<String> cancelled = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            cancelled.add(in.readUTF());
+        }
+        return new Knowledge(process, addressee, informed, complete, cancelled);
+    }
+
     private static void writeBytes(DataOutputStream out, byte[] bytes) throws IOException {
         out.writeInt(bytes.length);
         out.write(bytes);
