--- a/src/main/java/stileferry/standin/Worker.java
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -32,6 +32,7 @@
     private double memoryFree;
     private boolean faulty;
     private boolean immortal;
+    private long hangsUntil;
     private double noticeS = -1;
     private boolean changed;
 
@@ -119,6 +120,11 @@
         immortal = true;
     }
 
+    /** The machine hangs until then: its tasks stay as they are, unless its lease ends. */
+    public void hang(long until) {
+        hangsUntil = until;
+    }
+
     /** The cloud will take the machine. */
     public void notice(double seconds) {
         noticeS = seconds;
@@ -154,7 +160,7 @@
             changed = true;
         }
         for (Task t : List.copyOf(tasks.values())) {
-            if (t.state.equals("exited") || now < t.until) {
+            if (t.state.equals("exited") || now < t.until || now < hangsUntil) {
                 continue;
             }
             if (t.state.equals("pulling")) {
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -59,6 +59,10 @@
         w.slowStoreMs = 0;
         w.turnMs.clear();
         w.lostAnswers = 0;
+        w.lateWrites = 0;
+        w.unansweredWrites = 0;
+        w.mute.clear();
+        w.copiesForNext = false;
         w.quietSince = w.now;
         w.play(90); // until every submission has been answered or given up
         for (World.User u : List.copyOf(w.users.values())) {
@@ -76,7 +80,7 @@
         List<String> machines = w.cloud.up();
         String machine = machines.isEmpty() ? null : machines.get(r.nextInt(machines.size()));
         String addr = "w-" + machine + ":1";
-        switch (r.nextInt(20)) {
+        switch (r.nextInt(28)) {
             case 0, 1 -> restart(w, node, r.nextBoolean() ? 300 : 5000);
             case 2 -> nodes.forEach(n -> restart(w, n, 1000 + r.nextLong(4000)));
             case 3 -> w.cut(node.settings.node(), 1000 + r.nextLong(20_000));
@@ -137,6 +141,47 @@
                 }
                 w.after(1000 + r.nextLong(30_000), w.turnMs::clear);
             }
+            case 20 -> {
+                w.lateWrites = 0.1 + 0.4 * r.nextDouble();
+                w.after(1000 + r.nextLong(15_000), () -> w.lateWrites = 0);
+            }
+            case 21 -> {
+                w.unansweredWrites = 0.1 + 0.4 * r.nextDouble();
+                w.after(1000 + r.nextLong(15_000), () -> w.unansweredWrites = 0);
+            }
+            case 22 -> {
+                w.mute.add(addr);
+                w.after(1000 + r.nextLong(30_000), () -> w.mute.remove(addr));
+            }
+            case 23 -> w.hang(addr, 1000 + r.nextLong(25_000));
+            case 24 -> {
+                w.copiesForNext = true;
+                w.after(1000 + r.nextLong(30_000), () -> w.copiesForNext = false);
+            }
+            case 25 -> { // the leader is refused, and then everybody for longer than a cancellation's time
+                World.Node leader = w.leader();
+                if (leader != null) {
+                    w.refused.add(leader.settings.node());
+                    cancelSome(w, r);
+                    w.after(1000 + r.nextLong(4000), () -> {
+                        w.stateDown = true;
+                        cancelSome(w, r);
+                        w.after(15_000 + r.nextLong(15_000), () -> {
+                            w.stateDown = false;
+                            w.state.renewAll(w.now);
+                        });
+                    });
+                    w.after(14_000, () -> w.refused.remove(leader.settings.node()));
+                }
+            }
+            case 26 -> nodes.forEach(n -> restart(w, n, 5000 + r.nextLong(12_000))); // for longer than a lease
+            case 27 -> { // jobs are cancelled while the leader changes
+                World.Node leader = w.leader();
+                if (leader != null) {
+                    cancelSome(w, r);
+                    w.after(r.nextLong(300), () -> restart(w, leader, r.nextBoolean() ? 300 : 5000));
+                }
+            }
             case 14 -> { // back at once, while the others may just be choosing a leader
                 nodes.forEach(n -> restart(w, n, 100 + r.nextLong(200)));
                 w.after(500 + r.nextLong(2000), () -> restart(w, node, 100));
@@ -148,6 +193,14 @@
         }
     }
 
+    private static void cancelSome(World w, SplittableRandom r) {
+        List<World.User> open = w.users.values().stream().filter(u -> u.accepted && u.end == null && !u.wantsCancel)
+                .toList();
+        for (int i = 0; i < Math.min(3, open.size()); i++) {
+            w.cancel(open.get(r.nextInt(open.size())));
+        }
+    }
+
     static void restart(World w, World.Node node, long afterMs) {
         if (node.up()) {
             node.crash();
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -78,9 +78,6 @@
     /** Machines whose reports reach nobody, while commands reach them. */
     final Set<String> mute = new TreeSet<>();
 
-    /** Machines that carry nothing out and say nothing until they go on; what reached them is carried out then. */
-    private final Map<String, Long> hangs = new HashMap<>();
-
     /** Copies of reports are kept until the next leader has begun, and then reach every controller. */
     boolean copiesForNext;
 
@@ -226,9 +223,7 @@
         }
         cloud.tick(now);
         for (Worker w : List.copyOf(workers.values())) {
-            if (hangs.getOrDefault(w.addr(), 0L) <= now) {
-                w.tick(now);
-            }
+            w.tick(now);
         }
         copiesForNext();
         for (User user : users.values()) {
@@ -262,8 +257,10 @@
 
     /** A machine hangs: it computes nothing, hears and says nothing, and goes on later with what reached it. */
     void hang(String addr, long ms) {
-        hangs.put(addr, now + ms);
-        cut(addr, ms);
+        if (workers.containsKey(addr)) {
+            workers.get(addr).hang(now + ms);
+            cut(addr, ms);
+        }
     }
 
     void cut(String host, long ms) {
