The lower of today's and the announced limits of the state service holds; large records are spread before they are given up

The old records are up to 16 KB, the limit to come is 2 KB and four changes: the record that replaced an old one could not hold what was live of it.

--- a/src/main/java/stileferry/coordination/Users.java
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -18,6 +18,9 @@
 
 /** Dealings with users in one term: they hear accepted, cancelled or done only when it is durable. */
 final class Users {
+    /** The share of the value limit that a job's record may take; the rest is for what is added later. */
+    private static final double FILL = 0.9;
+
     /** Seconds of the state service's rates that may wait before submissions are refused. */
     private static final double BEHIND_S = 2;
 
@@ -222,6 +225,10 @@
             return;
         }
         Job job = new Job(spec, lead.number(), outside.timeOfDay(), 0);
+        if (job.record.value().toString().length() > board.settings.state().valueKb() * 1024 * FILL) {
+            reply.accept(refusal(422, "its description is larger than can be kept"));
+            return;
+        }
         await(job, reply);
         board.jobs.put(spec.id(), job);
         ledger.put(job.record, () -> {
--- a/src/main/java/stileferry/protocol/Settings.java
+++ b/src/main/java/stileferry/protocol/Settings.java
@@ -48,10 +48,18 @@
     /** An aim on starting or finishing, in seconds, for one class of jobs (empty: any). */
     public record Objective(String kind, String jobClass, double withinS, double share) {}
 
-    /** The workers' times in seconds. */
-    public record Workers(double reportS, double leaseS, double cancelS) {}
+    /**
+     * The workers' times in seconds; the last two are those of gangs: how long a task waits for the others, and within
+     * what time all must hear a stop. 0: nothing is said of them.
+     */
+    public record Workers(double reportS, double leaseS, double cancelS, double gangWaitS, double gangPeerS) {
+        /** The times of a deployment without gangs. */
+        public Workers(double reportS, double leaseS, double cancelS) {
+            this(reportS, leaseS, cancelS, 0, 0);
+        }
+    }
 
-    /** The state service's limits. */
+    /** The state service's limits; where others are announced for some time to come, the lower of both. */
     public record State(double rps, double writeRps, double valueKb, int txnOps) {}
 
     /** The cloud's limits. */
--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -14,6 +14,9 @@
 
 /** Reads and checks the settings file; collects every problem instead of stopping at the first. */
 public final class SettingsReader {
+    /** A record of events holds one event at least, and a job's record what its user submitted. */
+    private static final double LEAST_VALUE_KB = 1;
+
     private final List<String> problems = new ArrayList<>();
 
     private SettingsReader() {}
@@ -60,12 +63,14 @@
                 new Settings.Workers(
                         positive(workers, "cluster.workers.", "report_s"),
                         positive(workers, "cluster.workers.", "lease_s"),
-                        positive(workers, "cluster.workers.", "cancel_s")),
+                        positive(workers, "cluster.workers.", "cancel_s"),
+                        optional(workers, "cluster.workers.", "gang_wait_s"),
+                        optional(workers, "cluster.workers.", "gang_peer_s")),
                 new Settings.State(
-                        positive(state, "cluster.state.", "rps"),
-                        positive(state, "cluster.state.", "write_rps"),
-                        positive(state, "cluster.state.", "value_kb"),
-                        (int) atLeast(state, "cluster.state.", "txn_ops", 3)),
+                        lower(state, "rps", Double.MIN_VALUE),
+                        lower(state, "write_rps", Double.MIN_VALUE),
+                        lower(state, "value_kb", LEAST_VALUE_KB),
+                        (int) lower(state, "txn_ops", 3)),
                 new Settings.Cloud(
                         positive(cloud, "cluster.cloud.", "rps"),
                         atLeast(cloud, "cluster.cloud.", "list_lag_s", 0)),
@@ -74,6 +79,14 @@
                 cluster.path("clock_off_ms").isMissingNode() ? -1 : atLeast(cluster, "cluster.", "clock_off_ms", 0));
     }
 
+    /** A limit of the state service, or the lower one that it will have at some time without notice. */
+    private double lower(JsonNode state, String name, double least) {
+        double now = atLeast(state, "cluster.state.", name, least);
+        JsonNode next = state.path("next");
+        return next.path(name).isMissingNode() ? now
+                : Math.min(now, atLeast(next, "cluster.state.next.", name, least));
+    }
+
     private List<Settings.Peer> peers(JsonNode root, String self) {
         List<Settings.Peer> peers = new ArrayList<>();
         Set<String> names = new HashSet<>(Set.of(self));
--- a/src/main/java/stileferry/standin/StateService.java
+++ b/src/main/java/stileferry/standin/StateService.java
@@ -14,8 +14,8 @@
 
 /** A stand-in for the state service, after the published protocol. Time comes from outside; nothing runs by itself. */
 public final class StateService {
-    private final int opsMost;
-    private final int valueBytesMost;
+    private int opsMost;
+    private int valueBytesMost;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
@@ -38,8 +38,13 @@
 
     /** A service with the settings' limits on operations in a transaction and on the size of a value. */
     public StateService(int opsMost, double valueKb) {
-        this.opsMost = opsMost;
-        this.valueBytesMost = (int) (valueKb * 1024);
+        limit(opsMost, valueKb);
+    }
+
+    /** Other limits from now on; what is stored stays readable. */
+    public void limit(int operations, double valueKb) {
+        opsMost = operations;
+        valueBytesMost = (int) (valueKb * 1024);
     }
 
     /** The value of a key, or null. */
--- a/src/main/java/stileferry/storage/EventLog.java
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -30,6 +30,8 @@
     private final ArrayDeque<Slot> older = new ArrayDeque<>();
     private final ArrayDeque<Pending> pending = new ArrayDeque<>();
     private final int mostBytes;
+    private final String asidePrefix;
+    private long setAside;
     private int pendingBytes;
     private long lastNumber;
     private boolean restored;
@@ -39,6 +41,10 @@
         final Ledger.Entry entry;
         long number;
         List<Ledger.Event> events = List.of();
+
+        /** Records that hold what was set aside of this one. */
+        final List<Slot> aside = new ArrayList<>();
+
         ObjectNode value = Wire.map();
 
         Slot(String key, long revision, long number) {
@@ -53,9 +59,14 @@
     public record Batch(Ledger.Entry put, List<Ledger.Entry> deletions, int bytes, List<Runnable> actions,
             boolean endsGivenUp) {}
 
-    /** A ring of so many records within the service's value limit. */
-    public EventLog(double valueKb, int records) {
+    /**
+     * A ring of so many records within the service's value limit.
+     *
+     * @param term what no other leader's keys begin with
+     */
+    public EventLog(double valueKb, int records, String term) {
         slots = new Slot[records];
+        asidePrefix = PREFIX + "x" + term;
         mostBytes = (int) (valueKb * 1024 * FILL);
     }
 
@@ -124,6 +135,13 @@
         } else if (slot.entry.flying() || holdsEnds(slot) && anyFlyingBefore(at)) {
             return null;
         }
+        int live = ROW_BYTES + live(slot).stream().mapToInt(Ledger.Event::bytes).sum();
+        if (live > mostBytes) {
+            return setAside(slot);
+        }
+        if (slot.aside.stream().anyMatch(a -> a.entry.flying())) {
+            return null; // what it holds is not certain to be elsewhere yet
+        }
         boolean endsGivenUp = holdsEnds(slot);
         long number = ++lastNumber;
         List<Ledger.Event> events = new ArrayList<>();
@@ -131,6 +149,9 @@
         List<Ledger.Entry> deletions = new ArrayList<>();
         while (!older.isEmpty() && deletions.size() < changes - 1 && bytes < mostBytes / 2) {
             Slot old = older.peek();
+            if (old.entry.flying()) {
+                break;
+            }
             int part = Math.min(old.events.size(), Math.max(1, (mostBytes - bytes) / OLD_EVENT_BYTES));
             bytes = keep(old.number, old.events.subList(0, part), number, events, bytes);
             old.events = old.events.subList(part, old.events.size());
@@ -147,15 +168,55 @@
                 actions.add(p.onDurable);
             }
         }
-        ObjectNode value = Wire.map().put("n", number);
-        ArrayNode list = value.putArray("e");
-        events.forEach(e -> e.write(list.addArray()));
         slot.number = number;
         slot.events = events;
-        slot.value = value;
+        slot.aside.clear();
+        slot.value = value(number, events);
         return new Batch(slot.entry, deletions, bytes, actions, endsGivenUp);
     }
 
+    private static List<Ledger.Event> live(Slot slot) {
+        List<Ledger.Event> live = new ArrayList<>();
+        for (Ledger.Event e : slot.events) {
+            Ledger.Event kept = e.kept(slot.number);
+            if (kept != null) {
+                live.add(kept);
+            }
+        }
+        return live;
+    }
+
+    /**
+     * A record written under a larger value limit may hold more than fits into one of today's. As much as fits is put into
+     * a record beside the ring before the large one is given up. It holds no ends, so its order among the others does not
+     * matter; it is copied into the ring and deleted like records of an older form, also by versions that know only those.
+     * Its put compares that the large record still stands, so that it can't be carried out once more after its deletion.
+     */
+    private Batch setAside(Slot large) {
+        Slot aside = new Slot(asidePrefix + setAside++, 0, lastNumber);
+        aside.entry.guardedBy(large.entry);
+        List<Ledger.Event> events = new ArrayList<>();
+        int bytes = ROW_BYTES;
+        for (Ledger.Event e : live(large)) {
+            if (bytes + e.bytes() > mostBytes) {
+                break;
+            }
+            bytes += take(e, aside.number, events);
+        }
+        aside.events = events;
+        aside.value = value(aside.number, events);
+        large.aside.add(aside);
+        older.add(aside);
+        return new Batch(aside.entry, List.of(), bytes, List.of(), false);
+    }
+
+    private static ObjectNode value(long number, List<Ledger.Event> events) {
+        ObjectNode value = Wire.map().put("n", number);
+        ArrayNode list = value.putArray("e");
+        events.forEach(e -> e.write(list.addArray()));
+        return value;
+    }
+
     private static boolean holdsEnds(Slot slot) {
         return slot.events.stream().anyMatch(Ledger.Event::ends);
     }
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -73,7 +73,7 @@
         private boolean flying;
         private boolean deleted;
         private Entry partner;
-        private String excludes;
+        private Entry guard;
         private List<Runnable> waiting = new ArrayList<>();
 
         /** A key with the revision last read (0: does not exist). */
@@ -84,14 +84,19 @@
         }
 
         /**
-         * Names a key that must not exist for this one to be written for the first time. Found with transactions that were
-         * carried out late once more: a key that has been put and deleted since looks as if it had never been.
+         * Names a key that must stand as it does for this one to be written for the first time. Found with transactions that
+         * were carried out late once more: a key that has been put and deleted since looks as if it had never been.
          */
-        public Entry excludes(String other) {
-            excludes = other;
+        public Entry guardedBy(Entry other) {
+            guard = other;
             return this;
         }
 
+        /** Names a key that must not exist for this one to be written for the first time. */
+        public Entry excludes(String other) {
+            return guardedBy(new Entry(other, 0, Wire::map));
+        }
+
         boolean flying() {
             return flying;
         }
@@ -131,7 +136,7 @@
         this.fenceRevision = fenceRevision;
         this.stampPrefix = Long.toString(term, 36) + "-";
         this.onLost = onLost;
-        this.events = new EventLog(state.limits().valueKb(), EventLog.SLOTS);
+        this.events = new EventLog(state.limits().valueKb(), EventLog.SLOTS, stampPrefix);
     }
 
     /** Takes in a record of events that was read from the service, in the order of their numbers. */
@@ -265,8 +270,8 @@
         entry.waiting = new ArrayList<>();
         ArrayNode conditions = (ArrayNode) t.body.get("if");
         conditions.addObject().put("path", entry.key).put("entry_rev", entry.revision);
-        if (entry.excludes != null && entry.revision == 0) {
-            conditions.addObject().put("path", entry.excludes).put("entry_rev", 0);
+        if (entry.guard != null && entry.revision == 0) {
+            conditions.addObject().put("path", entry.guard.key).put("entry_rev", entry.guard.revision);
         }
         ArrayNode apply = (ArrayNode) t.body.get("apply");
         if (entry.deleted) {
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -33,6 +33,7 @@
         World w = new World(seed);
         SplittableRandom r = w.random.split();
         w.lateCopies = seed % 2 == 0 ? 0.1 : 0;
+        w.after(r.nextLong(Math.round(1000 * seconds)), () -> w.state.limit(4, 2));
         w.play(3);
         int jobs = 0;
         for (double t = 0; t < seconds && w.violations.isEmpty(); t += 2) {
--- a/src/test/java/stileferry/coordination/TaskEventsTest.java
+++ b/src/test/java/stileferry/coordination/TaskEventsTest.java
@@ -76,7 +76,7 @@
         SplittableRandom r = new SplittableRandom(seed);
         Map<String, JsonNode> store = new HashMap<>();
         Map<String, Job> jobs = jobs(8, 60);
-        EventLog log = new EventLog(VALUE_KB, 8);
+        EventLog log = new EventLog(VALUE_KB, 8, "t");
         long attempt = 0;
         for (int step = 0; step < 3000; step++) {
             Job job = jobs.get("job-" + r.nextInt(8));
@@ -104,7 +104,7 @@
                     write(log, store);
                 }
                 Map<String, Job> copy = jobs(8, 60);
-                EventLog next = r.nextInt(50) == 0 ? new EventLog(VALUE_KB, 8) : null;
+                EventLog next = r.nextInt(50) == 0 ? new EventLog(VALUE_KB, 8, "t") : null;
                 if (next != null && r.nextBoolean()) {
                     // the last but one record of the old leader is lost, and its slot keeps what it held before
                     EventLog.Batch lost = log.next(12);
@@ -134,13 +134,79 @@
         assertEquals(8, store.size());
     }
 
+    /**
+     * Leaders of the version before go by the larger limit, and later ones by the lower limit that is announced, in turns.
+     * No leader of the lower limit writes a larger value, whatever it finds; and at every write the store tells all.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void recordsOfALargerLimitAreReplacedBySmallOnes(long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        Map<String, JsonNode> store = new HashMap<>();
+        Map<String, Job> jobs = jobs(8, 60);
+        boolean small = false;
+        EventLog log = new EventLog(16, 64, "t");
+        long attempt = 0;
+        int aside = 0;
+        for (int step = 0; step < 4000; step++) {
+            Job job = jobs.get("job-" + r.nextInt(8));
+            boolean crowd = step % 1000 < 500; // many tasks at once, most of which stay while the ring goes round
+            if (job.claims.size() < (crowd ? 55 : 40)) {
+                int index = job.taken.nextClearBit(r.nextInt(60));
+                if (index < 60) {
+                    Claim claim = new Claim(job, index, ++attempt, "host-" + r.nextInt(20), 1, 0);
+                    job.claims.put(index, claim);
+                    job.taken.set(index);
+                    log.add(TaskEvents.claimed(claim), null);
+                }
+            } else {
+                Claim claim = job.claims.get(job.claims.keySet().stream().skip(r.nextInt(job.claims.size())).findFirst()
+                        .orElseThrow());
+                job.claims.remove(claim.index);
+                job.taken.clear(claim.index);
+                log.add(TaskEvents.freed(claim), null);
+            }
+            boolean turn = step % 1000 == 499 || step % 1000 == 950;
+            if (!turn && r.nextInt(crowd ? 300 : 3) != 0) {
+                continue;
+            }
+            while (log.waits()) {
+                EventLog.Batch batch = log.next(4);
+                assertTrue(batch.deletions().size() < 4);
+                JsonNode value = batch.put().value();
+                aside += batch.put().key().startsWith("l/x") ? 1 : 0;
+                assertTrue(value.toString().length() < (small ? 2 : 16) * 1024, "a record of " + value.toString().length());
+                store.put(batch.put().key(), Wire.decode(Wire.encode(value)));
+                batch.deletions().forEach(e -> store.remove(e.key()));
+                Map<String, Job> copy = jobs(8, 60);
+                Map<String, Long> told = attempts(read(store, copy, null).claims());
+                if (!log.waits()) {
+                    List<Claim> claims = new ArrayList<>();
+                    jobs.values().forEach(j -> claims.addAll(j.claims.values()));
+                    assertEquals(attempts(claims), told, "at step " + step);
+                }
+            }
+            if (turn || r.nextInt(60) == 0) {
+                small = turn ? !crowd || step % 1000 == 499 : small;
+                small &= step % 1000 != 950;
+                log = new EventLog(small ? 2 : 16, 64, "t" + step + "-");
+                jobs = jobs(8, 60);
+                read(store, jobs, log).claims().forEach(c -> {
+                    c.job.claims.put(c.index, c);
+                    c.job.taken.set(c.index);
+                });
+            }
+        }
+        assertTrue(aside > 0, "nothing was too large");
+    }
+
     /** The largest job there may be, with every task claimed at once and half of them done, fits the ring. */
     @Test
     void aHundredThousandTasksFit() {
         Map<String, JsonNode> store = new HashMap<>();
         Map<String, Job> jobs = jobs(1, 100_000);
         Job job = jobs.get("job-0");
-        EventLog log = new EventLog(VALUE_KB, 1024);
+        EventLog log = new EventLog(VALUE_KB, 1024, "t");
         List<Claim> claims = new ArrayList<>();
         for (int i = 0; i < 100_000; i++) {
             Claim claim = new Claim(job, i, (1L << 40) + i, "host-123456", 100, 0);
@@ -176,7 +242,7 @@
         for (int i = 16; i < 60; i++) {
             claims.addArray().add(128 + i).add(7L << 32).add("host-000001").add(3);
         }
-        EventLog log = new EventLog(VALUE_KB, 8);
+        EventLog log = new EventLog(VALUE_KB, 8, "t");
         TaskEvents.Reader reader = new TaskEvents.Reader(jobs);
         store.put("c/job-0/1", part);
         log.restore("c/job-0/1", 5, -1, reader.readChunk(job, 1, part, -1));
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -194,7 +194,8 @@
                 "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":24,"cpus_max":%s},
                 {"name":"blue","cpus":16,"cpus_max":24},{"name":"free"}],"objectives":[],
                 "workers":{"report_s":%s,"lease_s":%s,"cancel_s":%s},
-                "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},
+                "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12,
+                "next":{"write_rps":40,"value_kb":2,"txn_ops":4}},
                 "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000},"clock_off_ms":20}}
                 """.formatted(name, seeds, CLOUD, STATE, redMax, reportS, 5 * reportS, CANCEL_S));
         if (read.settings() == null) {
@@ -403,7 +404,12 @@
                     } else if (commit && random.nextDouble() < unansweredWrites) {
                         state.request(method, path, copy, (status, body1) -> { });
                     } else {
-                        state.request(method, path, copy, r);
+                        state.request(method, path, copy, (status, answer) -> {
+                            if (commit && status == 400 && !answer.path("error").asText().equals("no such lease")) {
+                                violations.add("malformed: " + copy + " " + answer);
+                            }
+                            r.done(status, answer);
+                        });
                     }
                 }, mine);
             } else if (addr.equals(CLOUD)) {
