Gangs stop whole, end whole, and get room for all of their tasks or none

Stops went to one task of a gang at a time, so nothing was saved; when a machine was lost as its gang completed, the rest was started again alone, for ever; room was made and rented for arrays only, and a zone without room for the rest was tried alone. A gang that can never stand together is refused.

--- a/src/main/java/stileferry/cli/StandIns.java
+++ b/src/main/java/stileferry/cli/StandIns.java
@@ -89,7 +89,7 @@
                     "zones": ["a", "b"],
                     "teams": [{"name": "red", "cpus": 8, "cpus_max": 24}, {"name": "blue"}],
                     "objectives": [],
-                    "workers": {"report_s": %s, "lease_s": %s, "cancel_s": %s},
+                    "workers": {"report_s": %s, "lease_s": %s, "cancel_s": %s, "gang_wait_s": %s, "gang_peer_s": %s},
                     "state": {"rps": 500, "write_rps": 200, "value_kb": 8, "txn_ops": 20},
                     "cloud": {"rps": 10, "list_lag_s": 0.5},
                     "machine_limits": {"max_sockets": %d}
@@ -97,6 +97,7 @@
                 }
                 """.formatted(node, port + 1 + node, port + 1 + NODES + node, seeds, port, port,
                         size.reportMs() / 1000.0, size.leaseMs() / 1000.0, 2 * size.leaseMs() / 1000.0,
+                        StandInHost.GANG_WAIT_S, StandInHost.GANG_PEER_S,
                         Math.max(1000, 3 * size.machines()));
     }
 }
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -89,6 +89,9 @@
         /** It is proven that the task is not on its machine and can't come there any more. */
         void gone(Claim claim, String proof);
 
+        /** A task has to leave its machine; a gang's others have to stop with it. */
+        void stopWhole(Claim claim, double graceS);
+
         /** Something changed that a pass may use. */
         void changed();
     }
@@ -307,8 +310,12 @@
 
     /** What a notice asks for: save what can be saved, and move what has to run elsewhere. */
     private void leave(Machine m, long now) {
-        for (Claim c : m.claims.values()) {
-            if (c.job.spec.service()) {
+        for (Claim c : List.copyOf(m.claims.values())) {
+            if (c.job.spec.gang()) {
+                if (c.job.spec.estimateS() - c.ranMs(now) / 1000.0 > m.noticeS) {
+                    events.stopWhole(c, c.job.spec.saveS() <= m.noticeS ? c.job.spec.saveS() : 0);
+                }
+            } else if (c.job.spec.service()) {
                 board.stop(c, 0, now);
             } else if (c.job.spec.checkpointS() > 0) {
                 board.stop(c, c.job.spec.saveS(), now);
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -223,6 +223,9 @@
         }
         List<Claim> claims = reader.claims();
         claims.forEach(board::add);
+        // the version before stored that one task of a gang was done, and might have started the others again
+        board.jobs.values().stream().filter(j -> j.spec.gang() && j.doneCount() > 0)
+                .forEach(j -> finishGang(j, null));
         silences.takeOver(reader.silences());
         active = true;
         activeAt = outside.now();
@@ -348,10 +351,25 @@
         });
     }
 
-    /** Stops a claimed task; one that its machine has never heard of is simply not there. */
+    /**
+     * Stops a claimed task. A gang is stopped whole: its tasks can save only together, and one that is left alone loses
+     * what it did.
+     */
     private void stop(Claim claim, double graceS) {
+        stopOne(claim, graceS);
+        if (claim.job.spec.gang()) {
+            stopOthers(claim, graceS);
+        }
+    }
+
+    /** One that its machine has never heard of is simply not there. */
+    private void stopOne(Claim claim, double graceS) {
+        if (claim.job.claims.get(claim.index) != claim) {
+            return; // ended with its gang; counted out twice it would let its team beyond its limit
+        }
         if (claim.runsSent == 0) {
-            gone(claim, "never sent");
+            LOG.debug("{} is not on {}: it was never sent", claim.name, claim.machine);
+            settle(claim, false, null);
             return;
         }
         board.stop(claim, graceS, outside.now());
@@ -363,8 +381,12 @@
     @Override
     public void exited(Machine machine, Claim claim, Report.TaskState t) {
         Job job = claim.job;
+        if (job.claims.get(claim.index) != claim) {
+            return; // ended with its gang
+        }
         long now = outside.now();
         boolean done = t.why().equals("done") && !job.spec.service();
+        List<Claim> others = done && job.spec.gang() ? finishGang(job, claim) : List.of();
         machine.settling.add(t.key());
         job.begun |= done || t.why().equals("error");
         if (claim.orderedAt > 0 && claim.runningAt > 0) {
@@ -384,7 +406,15 @@
         } else {
             failed(machine, claim, t, now);
         }
-        settle(claim, done, () -> machine.settling.remove(t.key()));
+        settle(claim, done, () -> {
+            machine.settling.remove(t.key());
+            others.forEach(other -> {
+                Machine there = board.machines.get(other.machine);
+                if (there != null) {
+                    there.settling.remove(other.key);
+                }
+            });
+        });
     }
 
     private void failed(Machine machine, Claim claim, Report.TaskState t, long now) {
@@ -410,12 +440,43 @@
     /** One task of a gang that does not run stops and requeues them all. */
     private void stopGang(Claim claim) {
         if (claim.job.spec.gang()) {
-            for (Claim other : List.copyOf(claim.job.claims.values())) {
-                if (other != claim && !other.stopping()) {
-                    stop(other, claim.job.spec.saveS());
-                }
+            stopOthers(claim, claim.job.spec.saveS());
+        }
+    }
+
+    private void stopOthers(Claim claim, double graceS) {
+        for (Claim other : List.copyOf(claim.job.claims.values())) {
+            if (other != claim && !other.stopping()) {
+                stopOne(other, graceS);
+            }
+        }
+    }
+
+    /**
+     * The tasks of a gang complete together: when one is done, all are, also one whose machine is gone before it tells.
+     * Their end is stored at once, in the record of the job's end, so that no leader starts a part of the gang again.
+     * Returns the claims that have ended so, which their machines may not clear before that is durable.
+     */
+    private List<Claim> finishGang(Job job, Claim first) {
+        List<Claim> others = new ArrayList<>(job.claims.values());
+        others.remove(first);
+        for (Claim claim : others) {
+            board.remove(claim, true);
+            Machine machine = board.machine(claim.machine);
+            machine.settling.add(claim.key);
+            machine.idleSince = machine.claims.isEmpty() ? outside.now() : machine.idleSince;
+        }
+        for (int i = 0; i < job.spec.tasks(); i++) {
+            if (first == null || i != first.index) {
+                job.finish(i);
             }
         }
+        return others;
+    }
+
+    @Override
+    public void stopWhole(Claim claim, double graceS) {
+        stop(claim, graceS);
     }
 
     /**
@@ -469,7 +530,7 @@
 
     private void stopAll(Job job) {
         for (Claim claim : List.copyOf(job.claims.values())) {
-            stop(claim, 0);
+            stopOne(claim, 0);
         }
     }
 
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -243,8 +243,22 @@
         return job.keptBackAt != 0 && now - job.keptBackAt <= 500 * startAim(job);
     }
 
-    /** Machines for every task of a gang, or none: tried out with claims that are taken back at once. */
+    /**
+     * Machines for every task of a gang, or none. Where all must be in one zone, that of the best machine comes first; it
+     * may lack room for the rest, so the others are tried too.
+     */
     private List<Machine> chooseAll(Job job, Predicate<Machine> usable, long now) {
+        List<Machine> machines = tryAll(job, usable, now);
+        for (String zone : job.spec.oneZone() ? board.settings.zones() : List.<String>of()) {
+            if (machines.isEmpty()) {
+                machines = tryAll(job, usable.and(m -> m.zone.equals(zone)), now);
+            }
+        }
+        return machines;
+    }
+
+    /** Tried out with claims that are taken back at once. */
+    private List<Machine> tryAll(Job job, Predicate<Machine> usable, long now) {
         List<Machine> machines = new ArrayList<>();
         List<Claim> tried = new ArrayList<>();
         int index = job.taken.nextClearBit(0);
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -1,6 +1,7 @@
 package stileferry.coordination;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -58,12 +59,13 @@
             if (!mayPreempt(job, timeOfDay, urgentAfterMs) || !board.withinLimit(job) || !anyToStop(job)) {
                 continue;
             }
-            if (job.spec.gang() && job.waitingCount() > 1) {
-                continue; // room for a part of a gang helps nobody, so nothing is stopped for it
+            if (job.spec.gang()) {
+                makeRoomForAll(job, now, going, promised, stops);
+                continue;
             }
             Placement.Misfits same = misfits.computeIfAbsent(List.of(job.spec.priority(), job.withinGuarantee,
                     job.spec.team()), k -> new Placement.Misfits());
-            if (!same.cover(job) && makeRoom(job, now, going, promised, stops) == 0) {
+            if (!same.cover(job) && makeRoom(job, null, now, going, promised, stops) == 0) {
                 same.add(job);
             }
         }
@@ -97,15 +99,36 @@
                 || job.spec.priority() == JobSpec.Priority.NORMAL && timeOfDay - job.acceptedAt > urgentAfterMs;
     }
 
+    /** Room for a part of a gang helps nobody: it is made for all its tasks, where they may be together, or not at all. */
+    private void makeRoomForAll(Job job, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
+        int tasks = job.waitingCount();
+        for (String zone : job.spec.oneZone() ? board.settings.zones() : Collections.<String>singletonList(null)) {
+            Set<Claim> goingThen = new HashSet<>(going);
+            Map<String, double[]> promisedThen = new HashMap<>();
+            promised.forEach((machine, kept) -> promisedThen.put(machine, kept.clone()));
+            Map<String, double[]> givenBefore = new HashMap<>();
+            givenBack.forEach((team, sum) -> givenBefore.put(team, sum.clone()));
+            List<Stop> stopsThen = new ArrayList<>();
+            if (makeRoom(job, zone, now, goingThen, promisedThen, stopsThen) == tasks) {
+                going.addAll(goingThen);
+                promised.putAll(promisedThen);
+                stops.addAll(stopsThen);
+                return;
+            }
+            givenBack.clear();
+            givenBack.putAll(givenBefore);
+        }
+    }
+
     /** One machine where room can be made, with what that costs. */
     private record Option(Machine machine, List<Claim> victims, boolean fetch, long loss) {}
 
-    /** Makes room for as many waiting tasks of a job as can be; returns for how many. */
-    private int makeRoom(Job job, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
+    /** Makes room for as many waiting tasks of a job as can be, in one zone or (null) in any; returns for how many. */
+    private int makeRoom(Job job, String zone, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
         PriorityQueue<Option> options = new PriorityQueue<>(Comparator.comparing(Option::fetch)
                 .thenComparingLong(Option::loss).thenComparing(Option::machine));
         for (Machine m : board.machines.values()) {
-            if (m.heard && placement.allowed(job, m, now)) {
+            if (m.heard && (zone == null || zone.equals(m.zone)) && placement.allowed(job, m, now)) {
                 offer(options, option(job, m, now, going, promised));
             }
         }
@@ -147,8 +170,8 @@
             return null;
         }
         long loss = 0;
-        for (Claim v : victims) {
-            loss += 1 + v.lossMs(now);
+        for (Claim v : victims) { // a gang is stopped whole
+            loss += (1 + v.lossMs(now)) * (v.job.spec.gang() ? v.job.claims.size() : 1);
         }
         boolean fetch = placement.needsImage(job, m.type) && !m.hasImage(job.spec.image());
         return new Option(m, victims, fetch, loss);
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -340,9 +340,10 @@
         Map<String, Double> teamCpus = new HashMap<>();
         for (Job job : waiting) {
             int n = withinLimit(job, teamCpus);
-            n -= fill(job.spec, n, coming);
+            String zone = job.spec.gang() && job.spec.oneZone() ? zoneFor(job.spec, n, coming, perZone) : null;
+            n -= fill(job.spec, n, coming, zone);
             while (n > 0) {
-                Bin bin = cheapest(job.spec, perZone);
+                Bin bin = cheapest(job.spec, perZone, zone);
                 if (bin == null) {
                     break;
                 }
@@ -384,19 +385,43 @@
         return most;
     }
 
-    private static int fill(JobSpec spec, int tasks, List<Bin> bins) {
+    /** Puts tasks into what is coming, in one zone or (null) in any; returns how many fit. */
+    private static int fill(JobSpec spec, int tasks, List<Bin> bins, String zone) {
         int taken = 0;
         for (Bin bin : bins) {
             if (taken == tasks) {
                 break;
             }
-            taken += bin.take(spec, tasks - taken);
+            taken += zone == null || zone.equals(bin.zone) ? bin.take(spec, tasks - taken) : 0;
         }
         return taken;
     }
 
+    /** The one zone for a gang: where most of it has room soon, else where a machine is to be had at the lowest price. */
+    private String zoneFor(JobSpec spec, int tasks, List<Bin> coming, Map<String, Integer> perZone) {
+        Map<String, Integer> room = new HashMap<>();
+        for (Bin bin : coming) {
+            if (bin.fits(spec)) {
+                int more = spec.cpus() > 0 ? (int) Math.max(1, bin.cpus / spec.cpus()) : 1;
+                room.merge(bin.zone, more, Integer::sum);
+            }
+        }
+        String best = null;
+        for (Map.Entry<String, Integer> e : room.entrySet()) {
+            if (!dark.contains(e.getKey()) && (best == null || e.getValue() > room.get(best)
+                    || e.getValue().equals(room.get(best)) && e.getKey().compareTo(best) < 0)) {
+                best = e.getKey();
+            }
+        }
+        if (best != null && (room.get(best) >= tasks || cheapest(spec, perZone, best) != null)) {
+            return best;
+        }
+        Bin bin = cheapest(spec, perZone, null);
+        return bin == null ? null : bin.zone;
+    }
+
     /** The machine to rent next for a job that nothing that is coming has room for. */
-    private Bin cheapest(JobSpec spec, Map<String, Integer> perZone) {
+    private Bin cheapest(JobSpec spec, Map<String, Integer> perZone, String onlyZone) {
         Bin best = null;
         boolean moreSpot = spotMachines + 1 <= board.options.number(Options.SPOT_SHARE) * (allMachines + 1);
         for (MachineType type : board.types) {
@@ -405,7 +430,7 @@
                     Bin bin = new Bin(type, zone, spot);
                     Refusal refusal = refusals.get(group(type, zone, spot));
                     if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now())
-                            && !dark.contains(zone) && bin.fits(spec)
+                            && !dark.contains(zone) && bin.fits(spec) && (onlyZone == null || onlyZone.equals(zone))
                             && (best == null || cheaper(bin, best, perZone))) {
                         best = bin;
                     }
--- a/src/main/java/stileferry/coordination/Users.java
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -218,6 +218,10 @@
             reply.accept(refusal(422, "a task fits no allowed machine type"));
             return;
         }
+        if (!spec.canRunTogether(board.types)) {
+            reply.accept(refusal(422, "its tasks can't all run at the same time"));
+            return;
+        }
         double tasks = spec.kind() == JobSpec.Kind.ARRAY ? 1 : spec.tasks();
         if (team.cpusMax() > 0 && tasks * spec.cpus() > team.cpusMax()
                 || team.gpusMax() > 0 && tasks * spec.gpus() > team.gpusMax()) {
--- a/src/main/java/stileferry/protocol/JobSpec.java
+++ b/src/main/java/stileferry/protocol/JobSpec.java
@@ -111,6 +111,15 @@
                 && (zone == null || type.zones().contains(zone));
     }
 
+    /** False for a gang whose tasks may never all run at the same time: at most half of them may be in its only zone. */
+    public boolean canRunTogether(List<MachineType> all) {
+        if (!gang() || !spread || tasks == 1) {
+            return true;
+        }
+        long zones = all.stream().filter(this::fitsType).flatMap(type -> type.zones().stream()).distinct().count();
+        return !oneZone && zone == null && zones > 1;
+    }
+
     /** True for replicas that run until their job is cancelled. */
     public boolean service() {
         return kind == Kind.SERVICE;
--- a/src/main/java/stileferry/standin/Worker.java
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -22,6 +22,7 @@
     private final long leaseMs;
     private final Function<String, JobSpec> directory;
     private final Watcher watcher;
+    private final Gangs gangs;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
     private long session = 1;
     private long seq;
@@ -54,28 +55,32 @@
         void ended(String task, Worker worker);
     }
 
-    private static final class Task {
+    static final class Task {
+        final Worker worker;
         final String name;
         final long attempt;
         final JobSpec spec;
         String state = "pulling";
         String why = "";
+        boolean kept;
         long until;
 
-        Task(String name, long attempt, JobSpec spec) {
+        Task(Worker worker, String name, long attempt, JobSpec spec) {
+            this.worker = worker;
             this.name = name;
             this.attempt = attempt;
             this.spec = spec;
         }
 
         boolean there() {
-            return state.equals("running") || state.equals("saving");
+            return state.equals("running") || state.equals("saving") || state.equals("waiting");
         }
     }
 
     /** A worker that begins now. */
     public Worker(String machine, String addr, String type, String zone, boolean spot, double cpus, double memoryGb,
-            long leaseMs, long now, Function<String, JobSpec> directory, Watcher watcher) {
+            long leaseMs, long now, Function<String, JobSpec> directory, Watcher watcher, Gangs gangs) {
+        this.gangs = gangs;
         this.machine = machine;
         this.addr = addr;
         this.type = type;
@@ -160,12 +165,21 @@
             changed = true;
         }
         for (Task t : List.copyOf(tasks.values())) {
-            if (t.state.equals("exited") || now < t.until || now < hangsUntil) {
+            boolean inGang = t.spec != null && t.spec.gang() && t.there();
+            if (t.state.equals("exited") || now < t.until && !inGang || now < hangsUntil) {
                 continue;
             }
-            if (t.state.equals("pulling")) {
+            if (inGang) {
+                String why = gangs.tick(t, now);
+                if (why != null) {
+                    exit(t, why);
+                }
+            } else if (t.state.equals("pulling")) {
                 t.state = "running";
                 t.until = t.spec.service() ? Long.MAX_VALUE : now + Math.round(t.spec.estimateS() * 1000);
+                if (t.spec.gang()) {
+                    gangs.ready(t, now);
+                }
                 watcher.started(t.name, this);
                 changed = true;
                 if (faulty) {
@@ -177,7 +191,11 @@
         }
     }
 
-    private void exit(Task t, String why) {
+    void changed() {
+        changed = true;
+    }
+
+    void exit(Task t, String why) {
         if (t.state.equals("exited")) {
             return;
         }
@@ -188,6 +206,9 @@
         memoryFree += t.spec.memoryGb();
         changed = true;
         if (there) {
+            if (t.spec.gang()) {
+                gangs.gone(t, why, now);
+            }
             watcher.ended(t.name, this);
         }
     }
@@ -206,6 +227,9 @@
             ObjectNode o = list.addObject().put("passenger", t.name).put("launch", t.attempt).put("tide", t.state);
             if (t.state.equals("exited")) {
                 o.put("landing_cause", t.why);
+                if (t.kept) {
+                    o.put("kept", true);
+                }
             }
         }
         return n;
@@ -273,7 +297,8 @@
     }
 
     private void kill(Task t, double graceS) {
-        boolean saves = t.state.equals("running") && t.spec.checkpointS() > 0 && graceS >= t.spec.saveS();
+        boolean saves = t.state.equals("running") && t.spec.checkpointS() > 0 && graceS >= t.spec.saveS()
+                && (!t.spec.gang() || gangs.save(t, now));
         if (saves) {
             t.state = "saving";
             t.until = now + Math.round(t.spec.saveS() * 1000);
@@ -285,7 +310,7 @@
     private void run(String name, long attempt, String key) {
         JobSpec spec = directory.apply(name.substring(0, name.indexOf('/')));
         changed = true;
-        Task task = new Task(name, attempt, spec);
+        Task task = new Task(this, name, attempt, spec);
         tasks.put(key, task);
         boolean busy = tasks.values().stream()
                 .anyMatch(o -> o != task && o.name.equals(name) && !o.state.equals("exited"));
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -13,6 +13,7 @@
 import stileferry.protocol.Outside;
 import stileferry.protocol.Wire;
 import stileferry.standin.Cloud;
+import stileferry.standin.Gangs;
 import stileferry.standin.StateService;
 import stileferry.standin.Worker;
 
@@ -24,6 +25,11 @@
     /** The machine type that the cloud stand-in rents. */
     public static final String TYPE = "box";
 
+    /** How long a gang's task waits for the others, and within what time it notices that one is gone, in seconds. */
+    public static final double GANG_WAIT_S = 10;
+
+    public static final double GANG_PEER_S = 2;
+
     private static final long BEAT_MS = 50;
 
     /** Addresses of workers in one block of loopback addresses. */
@@ -39,6 +45,7 @@
     private final StateService state = new StateService(20, 8);
     private final Cloud cloud;
     private final Map<String, Worker> workers = new HashMap<>();
+    private final Gangs gangs = new Gangs(GANG_WAIT_S, GANG_PEER_S);
     private final Undertow server;
     private int addresses;
     private volatile boolean closed;
@@ -120,7 +127,7 @@
         String[] parts = place.split("\\|");
         String addr = workerHost(1 + addresses++ % size.machines()) + ":" + port;
         Worker worker = new Worker(machine, addr, TYPE, parts[0], parts[1].equals("true"), 8, 32, size.leaseMs(), now(),
-                this::job, Worker.Watcher.NOBODY);
+                this::job, Worker.Watcher.NOBODY, gangs);
         workers.put(addr, worker);
         report(worker, 0);
         return worker;
--- a/src/test/java/stileferry/coordination/RulesTest.java
+++ b/src/test/java/stileferry/coordination/RulesTest.java
@@ -16,7 +16,8 @@
 /** Seeded random days in a simulated world; every rule is checked at every step. */
 class RulesTest {
     private static JobSpec job(int number, SplittableRandom r) {
-        JobSpec.Kind kind = r.nextInt(5) == 0 ? JobSpec.Kind.SERVICE : JobSpec.Kind.ARRAY;
+        JobSpec.Kind kind = r.nextInt(5) == 0 ? JobSpec.Kind.SERVICE
+                : r.nextInt(5) == 0 ? JobSpec.Kind.GANG : JobSpec.Kind.ARRAY;
         String team = List.of("red", "blue", "free").get(r.nextInt(3));
         JobSpec.Priority priority = kind == JobSpec.Kind.SERVICE ? JobSpec.Priority.CRITICAL
                 : r.nextBoolean() ? JobSpec.Priority.NORMAL : JobSpec.Priority.IDLE;
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -20,6 +20,7 @@
 import stileferry.protocol.SettingsReader;
 import stileferry.protocol.Wire;
 import stileferry.standin.Cloud;
+import stileferry.standin.Gangs;
 import stileferry.standin.StateService;
 import stileferry.standin.Worker;
 
@@ -41,6 +42,7 @@
     final Map<String, User> users = new LinkedHashMap<>();
     final StateService state = new StateService(12, 8);
     final Cloud cloud;
+    final Gangs gangs = new Gangs(8, 3);
     long now = 1_000_000;
     boolean stateDown;
     double lostAnswers;
@@ -193,7 +195,7 @@
                 "outside":{"cloud":"%s","state":"%s"},
                 "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":24,"cpus_max":%s},
                 {"name":"blue","cpus":16,"cpus_max":24},{"name":"free"}],"objectives":[],
-                "workers":{"report_s":%s,"lease_s":%s,"cancel_s":%s},
+                "workers":{"report_s":%s,"lease_s":%s,"cancel_s":%s,"gang_wait_s":8,"gang_peer_s":3},
                 "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12,
                 "next":{"write_rps":40,"value_kb":2,"txn_ops":4}},
                 "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000},"clock_off_ms":20}}
@@ -230,6 +232,7 @@
             w.tick(now);
         }
         copiesForNext();
+        gangs.mixed().forEach(id -> violations.add("ran_twice: two attempts of " + id));
         for (User user : users.values()) {
             if (quietSince > 0 && user.accepted && user.end == null
                     && now - Math.max(quietSince, user.heardAt) > FORGOTTEN_S * 1000) {
@@ -451,7 +454,7 @@
         String[] parts = place.split("\\|");
         String addr = "w-" + machine + ":1";
         Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), 8, 32, leaseMs, now,
-                id -> users.containsKey(id) ? users.get(id).spec : null, watcher());
+                id -> users.containsKey(id) ? users.get(id).spec : null, watcher(), gangs);
         workers.put(addr, w);
         reportLoop(w, "n" + random.nextInt(3));
         return w;
