--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -226,6 +226,10 @@
         // the version before stored that one task of a gang was done, and might have started the others again
         board.jobs.values().stream().filter(j -> j.spec.gang() && j.doneCount() > 0)
                 .forEach(j -> finishGang(j, null));
+        // nothing of such an attempt was started, or one of its tasks is gone: it can't be completed
+        board.jobs.values().stream().filter(j -> j.spec.gang() && !j.claims.isEmpty()
+                && j.claims.size() < j.spec.tasks()).forEach(j -> List.copyOf(j.claims.values()).forEach(c ->
+                board.stop(c, j.spec.saveS(), outside.now())));
         silences.takeOver(reader.silences());
         active = true;
         activeAt = outside.now();
@@ -333,6 +337,7 @@
         // The tasks of a gang find each other by their attempt, so it is the same for all of them.
         long attempt = term * ATTEMPTS_PER_TERM + ++numbers;
         boolean overdue = placement.overdue(job, outside.timeOfDay());
+        job.startsNotDurable = job.spec.gang() ? machines.size() : 0;
         for (Machine machine : machines) {
             start(job, index, attempt, machine, now, overdue);
             index = job.taken.nextClearBit(index);
@@ -345,12 +350,25 @@
         board.add(claim);
         ledger.log(TaskEvents.claimed(claim), () -> {
             claim.durable = true;
-            if (job.claims.get(index) == claim && !claim.stopping() && !job.cancelled) {
+            if (job.spec.gang()) {
+                startWhole(job, attempt);
+            } else if (job.claims.get(index) == claim && !claim.stopping() && !job.cancelled) {
                 fleet.nudge(machine);
             }
         });
     }
 
+    /** No task of a gang hears of an attempt before all of them are durable, or another leader might start a part of it. */
+    private void startWhole(Job job, long attempt) {
+        if (--job.startsNotDurable == 0 && !job.cancelled) {
+            for (Claim claim : job.claims.values()) {
+                if (claim.attempt == attempt && !claim.stopping()) {
+                    fleet.nudge(board.machine(claim.machine));
+                }
+            }
+        }
+    }
+
     /**
      * Stops a claimed task. A gang is stopped whole: its tasks can save only together, and one that is left alone loses
      * what it did.
--- /dev/null
+++ b/src/test/java/stileferry/coordination/GangTest.java
@@ -0,0 +1,129 @@
+package stileferry.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stileferry.coordination.RulesTest.array;
+import static stileferry.coordination.RulesTest.restart;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stileferry.protocol.JobSpec;
+import stileferry.standin.Worker;
+
+/** Jobs whose tasks run all at the same time or not at all. */
+class GangTest {
+    private static JobSpec gang(int number, JobSpec.Priority priority, int tasks, boolean oneZone, double runS) {
+        return new JobSpec("job-" + number, "any", "free", JobSpec.Kind.GANG, priority, tasks, 2, 0, 1, "img", 1, null,
+                null, oneZone, false, false, runS, 3, 1, -1);
+    }
+
+    private static World begun(long seed, JobSpec spec) {
+        World w = new World(seed);
+        w.play(3);
+        w.submit(spec);
+        w.play(20);
+        assertEquals(spec.tasks(), w.running(), "all of it runs");
+        return w;
+    }
+
+    @Test
+    void itLosesAMachineAndStartsAgainWhole() {
+        World w = begun(1, gang(1, JobSpec.Priority.URGENT, 6, true, 40));
+        w.cloud.take(w.machineInUse());
+        assertTrue(w.running() < 6);
+        w.play(25);
+        assertEquals(6, w.running(), "it runs again");
+        w.play(60);
+        assertEquals("done", w.users.get("job-1").end);
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** Its tasks save together or not at all, so all of them hear of a notice that concerns one machine. */
+    @Test
+    void aNoticeForOneMachineStopsItWholeAndSaved() {
+        World w = begun(2, gang(1, JobSpec.Priority.URGENT, 6, true, 100));
+        w.play(40);
+        int ended = w.ended;
+        Worker worker = w.workers.get("w-" + w.machineInUse() + ":1");
+        worker.notice(12);
+        w.play(6);
+        assertEquals(ended + 6, w.ended, "all have stopped");
+        w.play(20);
+        assertEquals(6, w.running());
+        w.play(65); // 50 s of work were saved
+        assertEquals("done", w.users.get("job-1").end);
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** When one task is done all are, and no leader may start the others alone. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20, 60, 150, 400, 900})
+    void itEndsWholeWhateverIsLostThen(int afterMs) {
+        World w = begun(3, gang(1, JobSpec.Priority.URGENT, 6, false, 20));
+        List<String> machines = List.copyOf(w.machinesOf(w.users.get("job-1")));
+        for (int i = 0; i < 600 && w.running() == 6; i++) {
+            w.play(0.05);
+        }
+        assertEquals(0, w.running());
+        w.play(afterMs / 1000.0);
+        w.cloud.take(machines.get(0));
+        restart(w, w.leader(), 300);
+        w.play(60);
+        assertEquals("done", w.users.get("job-1").end);
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** The leader ends while the claims of a gang become durable: the next one finishes that attempt or ends it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aLeaderThatEndsAsItStartsLeavesNoPart(long seed) {
+        World w = begun(10 + seed, gang(1, JobSpec.Priority.NORMAL, 2, false, 200));
+        w.slowStoreMs = 100;
+        for (int i = 2; i < 8; i++) {
+            w.submit(gang(i, JobSpec.Priority.NORMAL, 7, i % 2 == 0, 5));
+        }
+        w.play(0.2 + 0.15 * seed);
+        restart(w, w.leader(), 300);
+        w.slowStoreMs = 0;
+        w.play(120);
+        for (int i = 2; i < 8; i++) {
+            assertEquals("done", w.users.get("job-" + i).end, "job-" + i);
+        }
+        assertEquals(List.of(), w.violations);
+    }
+
+    /** Room is made for all its tasks at once, in the one zone where it may be. */
+    @Test
+    void lessUrgentWorkMakesRoomForAllOfIt() {
+        World w = new World(30);
+        w.play(3);
+        for (int i = 0; i < 40; i++) {
+            w.submit(array(100 + i, "any", JobSpec.Priority.IDLE, 4, 400));
+        }
+        w.play(60);
+        int full = w.running();
+        w.submit(gang(1, JobSpec.Priority.URGENT, 8, true, 10));
+        w.play(14);
+        assertTrue(w.users.get("job-1").startedAt > 0, "it waits, with " + full + " tasks of less urgent work");
+        assertEquals(List.of(), w.violations);
+    }
+
+    @Test
+    void whatCanNeverStandTogetherIsRefused() {
+        World w = new World(31);
+        w.play(3);
+        w.submit(new JobSpec("job-1", "any", "blue", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, 13, 2, 0, 1, "img", 1, null,
+                null, false, false, false, 5, 0, 0, -1)); // 26 CPUs of 24
+        w.submit(new JobSpec("job-2", "any", "free", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, 4, 2, 0, 1, "img", 1, null,
+                null, true, true, false, 5, 0, 0, -1)); // in one zone, with at most half of it in each
+        w.play(10);
+        for (World.User u : w.users.values()) {
+            assertFalse(u.accepted, u.spec.id());
+            assertNull(u.end);
+        }
+    }
+}
