--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -67,8 +67,8 @@
                         optional(workers, "cluster.workers.", "gang_wait_s"),
                         optional(workers, "cluster.workers.", "gang_peer_s")),
                 new Settings.State(
-                        lower(state, "rps", Double.MIN_VALUE),
-                        lower(state, "write_rps", Double.MIN_VALUE),
+                        lower(state, "rps", 0),
+                        lower(state, "write_rps", 0),
                         lower(state, "value_kb", LEAST_VALUE_KB),
                         (int) lower(state, "txn_ops", 3)),
                 new Settings.Cloud(
@@ -81,10 +81,13 @@
 
     /** A limit of the state service, or the lower one that it will have at some time without notice. */
     private double lower(JsonNode state, String name, double least) {
-        double now = atLeast(state, "cluster.state.", name, least);
+        double now = limit(state, "cluster.state.", name, least);
         JsonNode next = state.path("next");
-        return next.path(name).isMissingNode() ? now
-                : Math.min(now, atLeast(next, "cluster.state.next.", name, least));
+        return next.path(name).isMissingNode() ? now : Math.min(now, limit(next, "cluster.state.next.", name, least));
+    }
+
+    private double limit(JsonNode limits, String where, String name, double least) {
+        return least == 0 ? positive(limits, where, name) : atLeast(limits, where, name, least);
     }
 
     private List<Settings.Peer> peers(JsonNode root, String self) {
--- a/src/test/java/stileferry/coordination/TaskEventsTest.java
+++ b/src/test/java/stileferry/coordination/TaskEventsTest.java
@@ -63,6 +63,16 @@
         return reader;
     }
 
+    private static void claimSome(Job job, long attempt, SplittableRandom r, EventLog log) {
+        int index = job.taken.nextClearBit(r.nextInt(60));
+        if (index < 60) {
+            Claim claim = new Claim(job, index, attempt, "host-" + r.nextInt(20), 1, 0);
+            job.claims.put(index, claim);
+            job.taken.set(index);
+            log.add(TaskEvents.claimed(claim), null);
+        }
+    }
+
     private static Map<String, Long> attempts(Iterable<Claim> claims) {
         Map<String, Long> attempts = new TreeMap<>();
         claims.forEach(c -> attempts.put(c.name, c.attempt));
@@ -81,13 +91,7 @@
         for (int step = 0; step < 3000; step++) {
             Job job = jobs.get("job-" + r.nextInt(8));
             if (job.claims.isEmpty() || r.nextInt(5) < 2) {
-                int index = job.taken.nextClearBit(r.nextInt(60));
-                if (index < 60) {
-                    Claim claim = new Claim(job, index, ++attempt, "host-" + r.nextInt(20), 1, 0);
-                    job.claims.put(index, claim);
-                    job.taken.set(index);
-                    log.add(TaskEvents.claimed(claim), null);
-                }
+                claimSome(job, ++attempt, r, log);
             } else {
                 Claim claim = job.claims.values().iterator().next();
                 job.claims.remove(claim.index);
@@ -152,13 +156,7 @@
             Job job = jobs.get("job-" + r.nextInt(8));
             boolean crowd = step % 1000 < 500; // many tasks at once, most of which stay while the ring goes round
             if (job.claims.size() < (crowd ? 55 : 40)) {
-                int index = job.taken.nextClearBit(r.nextInt(60));
-                if (index < 60) {
-                    Claim claim = new Claim(job, index, ++attempt, "host-" + r.nextInt(20), 1, 0);
-                    job.claims.put(index, claim);
-                    job.taken.set(index);
-                    log.add(TaskEvents.claimed(claim), null);
-                }
+                claimSome(job, ++attempt, r, log);
             } else {
                 Claim claim = job.claims.get(job.claims.keySet().stream().skip(r.nextInt(job.claims.size())).findFirst()
                         .orElseThrow());
--- a/src/test/java/stileferry/protocol/SettingsReaderTest.java
+++ b/src/test/java/stileferry/protocol/SettingsReaderTest.java
@@ -41,6 +41,9 @@
         "\"report_s\":2|\"report_s\":\"soon\"|cluster.workers.report_s",
         "\"rps\":150|\"rps\":-1|cluster.state.rps",
         "\"txn_ops\":12|\"txn_ops\":1|cluster.state.txn_ops",
+        "\"txn_ops\":12|\"txn_ops\":12,\"next\":{\"txn_ops\":2}|cluster.state.next.txn_ops",
+        "\"txn_ops\":12|\"txn_ops\":12,\"next\":{\"write_rps\":0}|cluster.state.next.write_rps",
+        "\"cancel_s\":20|\"cancel_s\":20,\"gang_wait_s\":-1|cluster.workers.gang_wait_s",
         "\"txn_ops\":12}|\"txn_ops\":12},\"clock_off_ms\":-5|cluster.clock_off_ms",
         "\"zones\":[\"za\",\"zb\"]|\"zones\":[3]|cluster.zones",
         "\"cpus_max\":2|\"cpus_max\":-2|cluster.teams[0].cpus_max",
@@ -51,6 +54,14 @@
         assertTrue(read.problems().get(0).startsWith(field + ":"), read.problems().toString());
     }
 
+    /** Limits come without notice, so the lower of both is kept from the start. */
+    @Test
+    void theLowerOfTodaysAndTheNextLimitsCounts() {
+        Settings s = SettingsReader.read(GOOD.replace("\"txn_ops\":12",
+                "\"txn_ops\":12,\"next\":{\"write_rps\":21,\"value_kb\":2,\"txn_ops\":20}")).settings();
+        assertEquals(new Settings.State(150, 21, 2, 12), s.state());
+    }
+
     @Test
     void everyProblemIsFound() {
         assertTrue(SettingsReader.read("{}").problems().size() > 10);
