--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -33,6 +33,9 @@
     static final String CLOUD = "10.9.0.2:1";
     static final double CANCEL_S = 20;
     static final double FORGOTTEN_S = 75;
+    private static final double LEFT_S = 90;
+    private static final double MACHINE_CPUS = 8;
+    private static final double MACHINE_GB = 32;
     private static final double REPORT_S = 2;
 
     final SplittableRandom random;
@@ -130,6 +133,9 @@
         long heardAt;
         long endAt;
         long startedAt;
+
+        /** Since when, after all troubles, none of it is anywhere though there is room for it; 0: not so. */
+        long leftSince;
         final long submittedAt = now;
 
         User(JobSpec spec) {
@@ -173,7 +179,7 @@
         reportMs = Math.round(reportS * 1000);
         leaseMs = 5 * reportMs;
         template = settings("n0", reportS, redMax);
-        cloud = new Cloud("box", 8, 32, 5, List.of("za", "zb"), machines, 3000, this::boot, this::remove);
+        cloud = new Cloud("box", MACHINE_CPUS, MACHINE_GB, 5, List.of("za", "zb"), machines, 3000, this::boot, this::remove);
         for (int i = 0; i < 3; i++) {
             Node node = new Node(settings("n" + i, reportS, redMax));
             nodes.put("n" + i, node);
@@ -238,6 +244,7 @@
                     && now - Math.max(quietSince, user.heardAt) > FORGOTTEN_S * 1000) {
                 violations.add("forgotten: " + user.spec.id() + " is not answered for");
             }
+            checkLeft(user);
             if (user.cancelledAt > 0 && now - user.cancelledAt > CANCEL_S * 1000) {
                 for (String task : taskOn.keySet()) {
                     if (task.startsWith(user.spec.id() + "/")) {
@@ -249,6 +256,38 @@
         after(50, this::beat);
     }
 
+    /** Once the troubles are over no job is left waiting beside a machine that fits, with its team under its limit. */
+    private void checkLeft(User user) {
+        if (quietSince == 0 || !user.accepted || user.end != null || user.wantsCancel || running(user) > 0
+                || user.spec.gang() || !roomFor(user.spec)) {
+            user.leftSince = 0;
+        } else if (user.leftSince == 0) {
+            user.leftSince = now;
+        } else if (now - user.leftSince > LEFT_S * 1000) {
+            violations.add("waiting: " + user.spec.id() + " beside free room");
+        }
+    }
+
+    private boolean roomFor(JobSpec spec) {
+        double max = template.team(spec.team()).cpusMax();
+        return (max == 0 || use(spec.team()) + spec.cpus() <= max + 1e-6)
+                && workers.values().stream().anyMatch(w -> (spec.spot() || !w.spot())
+                && (spec.zone() == null || spec.zone().equals(w.zone())) && roomOn(w, spec));
+    }
+
+    private boolean roomOn(Worker w, JobSpec spec) {
+        double cpus = MACHINE_CPUS - spec.cpus();
+        double memory = MACHINE_GB - spec.memoryGb();
+        for (Map.Entry<String, String> on : taskOn.entrySet()) {
+            if (on.getValue().startsWith(w.machine() + "|")) {
+                JobSpec there = users.get(on.getKey().substring(0, on.getKey().indexOf('/'))).spec;
+                cpus -= there.cpus();
+                memory -= there.memoryGb();
+            }
+        }
+        return cpus >= -1e-6 && memory >= -1e-6;
+    }
+
     private void copiesForNext() {
         Node leader = leader();
         if (copiesForNext && copiesKeptFrom == null) {
@@ -453,7 +492,8 @@
     private Worker boot(String machine, String place) {
         String[] parts = place.split("\\|");
         String addr = "w-" + machine + ":1";
-        Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), 8, 32, leaseMs, now,
+        Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), MACHINE_CPUS,
+                MACHINE_GB, leaseMs, now,
                 id -> users.containsKey(id) ? users.get(id).spec : null, watcher(), gangs);
         workers.put(addr, w);
         reportLoop(w, "n" + random.nextInt(3));
@@ -564,13 +604,18 @@
         }
     }
 
-    private void checkLimit(String name) {
-        Settings.Team team = template.team(name);
+    private double use(String team) {
         double sum = 0;
         for (String task : taskOn.keySet()) {
             JobSpec spec = users.get(task.substring(0, task.indexOf('/'))).spec;
-            sum += spec.team().equals(name) ? spec.cpus() : 0;
+            sum += spec.team().equals(team) ? spec.cpus() : 0;
         }
+        return sum;
+    }
+
+    private void checkLimit(String name) {
+        Settings.Team team = template.team(name);
+        double sum = use(name);
         if (team.cpusMax() > 0 && sum > team.cpusMax() + 1e-6) {
             violations.add("quota: " + name + " uses " + sum);
         }
@@ -631,7 +676,7 @@
         });
     }
 
-    private void told(User user, PeerRecord.Ask ask, long asked, int status, JsonNode body) {
+    void told(User user, PeerRecord.Ask ask, long asked, int status, JsonNode body) {
         String id = user.spec.id();
         user.heardAt = now;
         if (status == 404 || status == 400 || status == 422) {
--- /dev/null
+++ b/src/test/java/stileferry/coordination/WorldTest.java
@@ -0,0 +1,138 @@
+package stileferry.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Messages.Signal;
+import stileferry.protocol.PeerRecord.Ask;
+import stileferry.standin.Worker;
+
+/** The checks of the simulated world must be able to fail; here nobody but the test gives commands and answers. */
+class WorldTest {
+    private static final long HIGH_TERM = 1L << 40;
+
+    private static JobSpec spec(int number, String team, int tasks, String zone, boolean oneZone) {
+        return new JobSpec("job-" + number, "any", team, JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, tasks, 4, 0, 1,
+                "img", 1, null, zone, oneZone, false, true, 0, 0, 0, -1);
+    }
+
+    /** A world with machines up, and a job that nobody but the test will start. */
+    private static World with(JobSpec spec) {
+        World w = new World(1);
+        w.play(3);
+        w.submit(RulesTest.service(1, 8, 8));
+        w.play(30);
+        w.nodes.values().forEach(World.Node::crash);
+        w.users.put(spec.id(), w.new User(spec));
+        return w;
+    }
+
+    private static Worker in(World w, String zone, int number) {
+        return w.workers.values().stream().filter(x -> x.zone().equals(zone)).skip(number).findFirst().orElseThrow();
+    }
+
+    private static void run(World w, Worker worker, String task) {
+        worker.commands(Messages.commands(HIGH_TERM, worker.session(), List.of(
+                new Signal(Signal.Kind.KILL, "job-1/0", 0, 0), new Signal(Signal.Kind.RUN, task, 1, 0))));
+        w.play(0.95); // it has its image, and leases stand
+    }
+
+    private static void free(World w) {
+        for (Worker worker : w.workers.values()) {
+            for (var t : stileferry.protocol.Report.read(worker.report()).tasks()) {
+                worker.commands(Messages.commands(HIGH_TERM, worker.session(), List.of(
+                        new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0))));
+            }
+        }
+    }
+
+    private static void assertNoticed(World w, String rule) {
+        assertTrue(w.violations.stream().anyMatch(v -> v.startsWith(rule)), rule + " not noticed: " + w.violations);
+    }
+
+    @Test
+    void theWrongZone() {
+        World w = with(spec(9, "free", 2, "za", false));
+        free(w);
+        run(w, in(w, "zb", 0), "job-9/0");
+        assertNoticed(w, "wrong_place");
+    }
+
+    @Test
+    void tasksApartThatMustBeTogether() {
+        World w = with(spec(9, "free", 2, null, true));
+        free(w);
+        run(w, in(w, "za", 0), "job-9/0");
+        assertEquals(List.of(), w.violations);
+        run(w, in(w, "zb", 0), "job-9/1");
+        assertNoticed(w, "wrong_place");
+    }
+
+    @Test
+    void aTeamBeyondItsLimit() {
+        World w = with(spec(9, "blue", 7, null, false)); // 28 CPUs of 24
+        free(w);
+        for (int i = 0; i < 7 && w.violations.isEmpty(); i++) {
+            run(w, in(w, i % 4 < 2 ? "za" : "zb", i % 2), "job-9/" + i);
+        }
+        assertNoticed(w, "quota");
+    }
+
+    @Test
+    void oneTaskTwice() {
+        World w = with(spec(9, "free", 1, null, false));
+        free(w);
+        run(w, in(w, "za", 0), "job-9/0");
+        run(w, in(w, "zb", 0), "job-9/0");
+        assertNoticed(w, "ran_twice");
+    }
+
+    @Test
+    void anAnswerThatGoesBack() {
+        World w = with(spec(9, "free", 2, null, false));
+        World.User user = w.users.get("job-9");
+        w.told(user, Ask.STATUS, w.now, 200, Messages.jobState("job-9", "done", 2, 0));
+        assertEquals(List.of(), w.violations);
+        w.told(user, Ask.STATUS, w.now + 1, 200, Messages.jobState("job-9", "running", 1, 1));
+        assertNoticed(w, "went_back");
+    }
+
+    @Test
+    void doneBeforeItIs() {
+        World w = with(spec(9, "free", 2, null, false));
+        w.told(w.users.get("job-9"), Ask.STATUS, w.now, 200, Messages.jobState("job-9", "done", 1, 0));
+        assertNoticed(w, "not_done");
+    }
+
+    @Test
+    void aStartAfterAConfirmedCancellation() {
+        World w = with(spec(9, "free", 1, null, false));
+        free(w);
+        World.User user = w.users.get("job-9");
+        user.wantsCancel = true;
+        w.told(user, Ask.WITHDRAW, w.now, 200, Messages.jobState("job-9", "cancelled", 0, 0));
+        run(w, in(w, "za", 0), "job-9/0");
+        assertNoticed(w, "ran_cancelled");
+    }
+
+    @Test
+    void aJobLeftBesideFreeRoom() {
+        World w = new World(1);
+        w.play(3);
+        w.submit(RulesTest.service(1, 1, 2));
+        w.play(30);
+        World.User user = w.new User(spec(9, "free", 1, null, false)); // as if its acceptance had been lost
+        w.users.put("job-9", user);
+        user.accepted = true;
+        w.quietSince = w.now;
+        for (int i = 0; i < 100 && w.violations.isEmpty(); i++) {
+            user.heardAt = w.now;
+            w.play(1);
+        }
+        assertNoticed(w, "waiting");
+    }
+}
