A gang's attempt counts its own claims only, so none starts before all of it is durable

An attempt given up before it was stored (a notice, a faulty machine, room for others) left its claims' confirmations outstanding, and these were counted for the next attempt of the same job: a part of that one was started while the claims of the rest were not stored. The simulated world checks at every first start of an attempt that the claims of all its tasks are stored (StoredClaims, with a case that shows it can fail).

--- a/src/main/java/stileferry/coordination/Claim.java
+++ b/src/main/java/stileferry/coordination/Claim.java
@@ -22,6 +22,9 @@
 
     boolean durable;
 
+    /** The start of its gang that it belongs to; null for other jobs, and for claims read from the state service. */
+    GangAttempt gangAttempt;
+
     /** The number of the stored record that holds this claim. */
     long record;
 
@@ -53,6 +56,11 @@
         this.orderedAt = orderedAt;
     }
 
+    /** Whether the machine may hear of it: it is durable, and so are all claims of its gang's attempt. */
+    boolean startable() {
+        return durable && (gangAttempt == null || gangAttempt.startable());
+    }
+
     boolean stopping() {
         return stopGraceS >= 0;
     }
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -351,7 +351,7 @@
             }
         }
         for (Claim c : m.claims.values()) {
-            if (!c.durable || c.job.startsNotDurable > 0 || c.session != m.session) {
+            if (!c.startable() || c.session != m.session) {
                 continue;
             }
             boolean lateCancel = c.job.cancelled && now - c.stopAskedAt > cancelMs / 2;
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -59,9 +59,6 @@
     /** Its end is durable. */
     boolean over;
 
-    /** Claims of a gang's attempt that are not durable yet. */
-    int startsNotDurable;
-
     boolean withinGuarantee;
 
     /** Since when room is being made for it where its image is; 0: not so. */
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -337,38 +337,40 @@
         // The tasks of a gang find each other by their attempt, so it is the same for all of them.
         long attempt = term * ATTEMPTS_PER_TERM + ++numbers;
         boolean overdue = placement.overdue(job, outside.timeOfDay());
-        job.startsNotDurable = job.spec.gang() ? machines.size() : 0;
+        GangAttempt gangAttempt = job.spec.gang() ? new GangAttempt(machines.size()) : null;
         for (Machine machine : machines) {
-            start(job, index, attempt, machine, now, overdue);
+            Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
+            claim.overdue = overdue;
+            claim.gangAttempt = gangAttempt;
+            board.add(claim);
+            ledger.log(TaskEvents.claimed(claim), () -> claimDurable(claim, machine));
             index = job.taken.nextClearBit(index);
         }
     }
 
-    private void start(Job job, int index, long attempt, Machine machine, long now, boolean overdue) {
-        Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
-        claim.overdue = overdue;
-        board.add(claim);
-        ledger.log(TaskEvents.claimed(claim), () -> {
-            claim.durable = true;
-            if (job.spec.gang()) {
-                startWhole(job, attempt);
-            } else if (job.claims.get(index) == claim && !claim.stopping() && !job.cancelled) {
-                fleet.nudge(machine);
+    private void claimDurable(Claim claim, Machine machine) {
+        claim.durable = true;
+        if (claim.gangAttempt != null) {
+            if (claim.gangAttempt.claimDurable()) {
+                startWhole(claim.job, claim.gangAttempt);
             }
-        });
+        } else if (mayStart(claim)) {
+            fleet.nudge(machine);
+        }
     }
 
-    /** No task of a gang hears of an attempt before all of them are durable, or another leader might start a part of it. */
-    private void startWhole(Job job, long attempt) {
-        if (--job.startsNotDurable == 0 && !job.cancelled) {
-            for (Claim claim : job.claims.values()) {
-                if (claim.attempt == attempt && !claim.stopping()) {
-                    fleet.nudge(board.machine(claim.machine));
-                }
+    private void startWhole(Job job, GangAttempt attempt) {
+        for (Claim claim : job.claims.values()) {
+            if (claim.gangAttempt == attempt && mayStart(claim)) {
+                fleet.nudge(board.machine(claim.machine));
             }
         }
     }
 
+    private static boolean mayStart(Claim claim) {
+        return claim.job.claims.get(claim.index) == claim && !claim.stopping() && !claim.job.cancelled;
+    }
+
     /**
      * Stops a claimed task. A gang is stopped whole: its tasks can save only together, and one that is left alone loses
      * what it did.
--- a/src/test/java/stileferry/coordination/GangTest.java
+++ b/src/test/java/stileferry/coordination/GangTest.java
@@ -7,11 +7,13 @@
 import static stileferry.coordination.RulesTest.array;
 import static stileferry.coordination.RulesTest.restart;
 
+import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.Wire;
 import stileferry.standin.Worker;
 
 /** Jobs whose tasks run all at the same time or not at all. */
@@ -21,6 +23,12 @@
                 null, oneZone, false, false, runS, 3, 1, -1);
     }
 
+    /** A gang of so many tasks that their claims need more than one record. */
+    private static JobSpec gangOfSmall(int number, int tasks, double runS) {
+        return new JobSpec("job-" + number, "any", "free", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, tasks, 1, 0, 1,
+                "img", 1, null, null, false, false, false, runS, 3, 1, -1);
+    }
+
     private static World begun(long seed, JobSpec spec) {
         World w = new World(seed);
         w.play(3);
@@ -96,6 +104,33 @@
         assertEquals(List.of(), w.violations);
     }
 
+    /**
+     * An attempt is given up before it was stored in full, and the next one begins at once: what of the first becomes
+     * durable later must not let the second start before all of it is. It did, when both were counted together.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void anAttemptGivenUpBeforeItWasStoredDoesNotLetTheNextOneStartEarly(long seed) {
+        World w = new World(60 + seed);
+        w.play(3);
+        w.submit(gangOfSmall(1, 80, 2));
+        w.play(25); // all machines are up and free again
+        World.User second = w.submit(gangOfSmall(2, 40, 5));
+        for (int i = 0; i < 100 && !second.accepted; i++) {
+            w.play(0.02);
+        }
+        w.slowWritesMs = 700;
+        w.play(0.05);
+        Worker first = w.workers.values().stream().min(Comparator.comparing(Worker::machine)).orElseThrow();
+        first.notice(3);
+        w.copy(Wire.decode(Wire.encode(first.report())), w.leader());
+        w.play(10);
+        w.slowWritesMs = 0;
+        w.play(60);
+        assertEquals(List.of(), w.violations);
+        assertEquals("done", second.end);
+    }
+
     /** Room is made for all its tasks at once, in the one zone where it may be. */
     @Test
     void lessUrgentWorkMakesRoomForAllOfIt() {
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -46,6 +46,7 @@
     final StateService state = new StateService(12, 8);
     final Cloud cloud;
     final Gangs gangs = new Gangs(8, 3);
+    private final StoredClaims stored = new StoredClaims(state, id -> users.get(id).spec);
     long now = 1_000_000;
     boolean stateDown;
     double lostAnswers;
@@ -71,6 +72,9 @@
     /** What the state service's answers take longer, at most. */
     long slowStoreMs;
 
+    /** What transactions take longer on their way to the state service, at most; so they arrive in any order. */
+    long slowWritesMs;
+
     /** Controllers that have little processor time, with the milliseconds that each of their turns takes. */
     final Map<String, Long> turnMs = new HashMap<>();
 
@@ -445,13 +449,10 @@
                         });
                     } else if (commit && random.nextDouble() < unansweredWrites) {
                         state.request(method, path, copy, (status, body1) -> { });
+                    } else if (commit && slowWritesMs > 0) {
+                        World.this.after(random.nextLong(slowWritesMs), () -> carryOut(method, path, copy, r));
                     } else {
-                        state.request(method, path, copy, (status, answer) -> {
-                            if (commit && status == 400 && !answer.path("error").asText().equals("no such lease")) {
-                                violations.add("malformed: " + copy + " " + answer);
-                            }
-                            r.done(status, answer);
-                        });
+                        carryOut(method, path, copy, r);
                     }
                 }, mine);
             } else if (addr.equals(CLOUD)) {
@@ -461,6 +462,7 @@
                 World.this.after(timeoutMs, () -> mine.done(NO_ANSWER, null));
             } else {
                 Worker w = workers.get(addr);
+                stored.checkStarts(copy, violations);
                 exchange(me, addr, timeoutMs, w != null && heldUntil(me, addr) <= now, r -> {
                     if (workers.get(addr) == w) {
                         commandsSent += copy.path("signals").isEmpty() ? 0 : 1;
@@ -471,6 +473,16 @@
             }
         }
 
+        private void carryOut(String method, String path, JsonNode body, Reply reply) {
+            state.request(method, path, body, (status, answer) -> {
+                if (path.equals("/commit") && status == 400
+                        && !answer.path("error").asText().equals("no such lease")) {
+                    violations.add("malformed: " + body + " " + answer);
+                }
+                reply.done(status, answer);
+            });
+        }
+
         @Override
         public void peer(Settings.Peer peer, PeerRecord record, long timeoutMs, Consumer<PeerRecord> reply) {
             String me = node.settings.node();
@@ -523,8 +535,11 @@
         Node node = nodes.get(to);
         exchange(w.addr(), to, 4000, node.up() && !mute.contains(w.addr()) && heldUntil(w.addr(), to) <= now, r -> {
             if (node.up()) {
-                node.outside.turn(() -> node.coordinator.report(Wire.encode(report),
-                        (status, answer) -> r.done(status, Wire.decode(answer))));
+                node.outside.turn(() -> node.coordinator.report(Wire.encode(report), (status, bytes) -> {
+                    JsonNode answer = Wire.decode(bytes);
+                    stored.checkStarts(answer, violations);
+                    r.done(status, answer);
+                }));
             }
         }, (status, body) -> {
             if (workers.get(w.addr()) != w) {
--- a/src/test/java/stileferry/coordination/WorldTest.java
+++ b/src/test/java/stileferry/coordination/WorldTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import stileferry.protocol.JobSpec;
@@ -91,6 +92,16 @@
         assertNoticed(w, "ran_twice");
     }
 
+    @Test
+    void aStartWhoseClaimIsNotStored() {
+        World w = with(spec(9, "free", 1, null, false));
+        List<String> noticed = new ArrayList<>();
+        new StoredClaims(w.state, id -> w.users.get(id).spec).checkStarts(Messages.commands(HIGH_TERM, 1, List.of(
+                new Signal(Signal.Kind.RUN, "job-9/0", 1, 0))), noticed);
+        assertEquals(1, noticed.size());
+        assertTrue(noticed.get(0).startsWith("started_early"), noticed::toString);
+    }
+
     @Test
     void anAnswerThatGoesBack() {
         World w = with(spec(9, "free", 2, null, false));
