--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -454,19 +454,22 @@
             }
             default -> { }
         }
-        stopGang(claim);
+        stopGang(claim, t.saved());
     }
 
-    /** One task of a gang that does not run stops and requeues them all. */
-    private void stopGang(Claim claim) {
+    /**
+     * One task of a gang that does not run stops and requeues them all. If it had saved, so do the others. Else none of
+     * them can: told to save they would only wait for the missing one, and hold their machines until they give up.
+     */
+    private void stopGang(Claim claim, boolean saved) {
         if (claim.job.spec.gang()) {
-            stopOthers(claim, claim.job.spec.saveS());
+            stopOthers(claim, saved ? claim.job.spec.saveS() : 0);
         }
     }
 
     private void stopOthers(Claim claim, double graceS) {
         for (Claim other : List.copyOf(claim.job.claims.values())) {
-            if (other != claim && !other.stopping()) {
+            if (other != claim && (!other.stopping() || graceS < other.stopGraceS)) {
                 stopOne(other, graceS);
             }
         }
@@ -525,7 +528,7 @@
         if (claim.job.claims.get(claim.index) == claim) {
             LOG.debug("{} is not on {} any more: {}", claim.name, claim.machine, proof);
             settle(claim, false, null);
-            stopGang(claim);
+            stopGang(claim, false);
         }
     }
 
--- a/src/main/java/stileferry/standin/Gangs.java
+++ b/src/main/java/stileferry/standin/Gangs.java
@@ -91,7 +91,8 @@
     /** A running task is told to save; whether it does so. */
     boolean save(Worker.Task task, long now) {
         Gang gang = of(task);
-        if (gang.startedAt < 0 || gang.lostAt >= 0) {
+        boolean noticedLoss = gang.lostAt >= 0 && now >= gang.lostAt + peerMs / 2;
+        if (gang.startedAt < 0 || noticedLoss) {
             return false;
         }
         gang.firstKillAt = gang.firstKillAt < 0 ? now : gang.firstKillAt;
--- a/src/test/java/stileferry/coordination/GangTest.java
+++ b/src/test/java/stileferry/coordination/GangTest.java
@@ -50,6 +50,29 @@
         assertEquals(List.of(), w.violations);
     }
 
+    /**
+     * A task is gone before the others have noticed. They can't save without it, and told to do so they would hold their
+     * machines until they give up, while the whole gang waits to start again.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void theOthersOfALostTaskStopAtOnceInsteadOfSaving(long seed) {
+        World w = new World(seed);
+        w.play(3);
+        w.submit(gang(1, JobSpec.Priority.URGENT, 5, true, 2));
+        w.play(20);
+        List<String> machines = w.workers.values().stream().map(Worker::machine).sorted().toList();
+        w.workers.get("w-" + machines.get(1) + ":1").faulty(true); // has room for the fifth task, the last one to begin
+        int ended = w.ended;
+        w.submit(gang(2, JobSpec.Priority.URGENT, 5, true, 100));
+        for (int i = 0; i < 400 && w.ended == ended; i++) {
+            w.play(0.02);
+        }
+        w.play(1);
+        assertEquals(0, w.running(), "a task has failed, the others are gone");
+        assertEquals(List.of(), w.violations);
+    }
+
     /** Its tasks save together or not at all, so all of them hear of a notice that concerns one machine. */
     @Test
     void aNoticeForOneMachineStopsItWholeAndSaved() {
