--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -26,6 +26,9 @@
     /** After so many times as long as a job was kept back for its image, it may be so again. */
     private static final int KEPT_BACK_AGAIN = 8;
 
+    /** A gang waits for the slowest of its fetches: they take up to a third longer, and some share their machine's rate. */
+    private static final double SLOWEST_FETCH = 2;
+
     /** Starts of one turn; more go on in the next, so that reports and renewals are not late. */
     private static final int STARTS_A_TURN = 400;
 
@@ -244,17 +247,34 @@
     }
 
     /**
-     * Machines for every task of a gang, or none. Where all must be in one zone, that of the best machine comes first; it
-     * may lack room for the rest, so the others are tried too.
+     * Machines for every task of a gang, or none. Where all must be in one zone, that of the best machine comes first. It
+     * may lack room for the rest, so the other zones are tried too; and where the gang's start can't wait for a fetch,
+     * they are tried for one with fewer images to fetch.
      */
     private List<Machine> chooseAll(Job job, Predicate<Machine> usable, long now) {
-        List<Machine> machines = tryAll(job, usable, now);
-        for (String zone : job.spec.oneZone() ? board.settings.zones() : List.<String>of()) {
-            if (machines.isEmpty()) {
-                machines = tryAll(job, usable.and(m -> m.zone.equals(zone)), now);
+        List<Machine> best = tryAll(job, usable, now);
+        if (!job.spec.oneZone()) {
+            return best;
+        }
+        for (String zone : board.settings.zones()) {
+            if (!best.isEmpty() && (fetches(job, best) == 0 || !needsImage(job, best.get(0).type))) {
+                return best;
+            }
+            List<Machine> here = tryAll(job, usable.and(m -> m.zone.equals(zone)), now);
+            if (best.isEmpty() || !here.isEmpty() && fetches(job, here) < fetches(job, best)) {
+                best = here;
             }
         }
-        return machines;
+        return best;
+    }
+
+    /** Tasks whose machine has yet to fetch the image. */
+    private static int fetches(Job job, List<Machine> machines) {
+        int fetches = 0;
+        for (Machine m : machines) {
+            fetches += m.hasImage(job.spec.image()) ? 0 : 1;
+        }
+        return fetches;
     }
 
     /** Tried out with claims that are taken back at once. */
@@ -325,7 +345,8 @@
 
     /** True when the job is expected to start sooner than its image can be fetched. */
     boolean needsImage(Job job, MachineType type) {
-        return startAim(job) < job.spec.imageGb() / type.fetchGbPerS();
+        double fetchS = job.spec.imageGb() / type.fetchGbPerS();
+        return startAim(job) < (job.spec.gang() ? SLOWEST_FETCH * fetchS : fetchS);
     }
 
     /** Seconds within which tasks of this job shall start; without end when nothing is said of that. */
