--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -11,6 +11,9 @@
 
 /** A machine and everything that may be on it. */
 final class Machine implements Comparable<Machine> {
+    /** Sums of amounts may be off by this much. */
+    private static final double ROUNDING = 1e-6;
+
     final String name;
     String addr = "";
     String typeName = "";
@@ -156,13 +159,13 @@
 
     /** Whether a task of this job fits beside all that may be here. */
     boolean hasRoom(Job job) {
-        return cpusUsed + job.spec.cpus() <= type.cpus() + 1e-6
-                && gpusUsed + job.spec.gpus() <= type.gpus() + 1e-6
-                && memoryUsed + job.spec.memoryGb() <= type.memoryGb() + 1e-6;
+        return cpusUsed + job.spec.cpus() <= type.cpus() + ROUNDING
+                && gpusUsed + job.spec.gpus() <= type.gpus() + ROUNDING
+                && memoryUsed + job.spec.memoryGb() <= type.memoryGb() + ROUNDING;
     }
 
-    /** Whether a task of this job would fit beside the tasks of its priority and above. */
-    boolean hasRoomWithoutLess(Job job) {
+    /** How many tasks of this job would fit beside the tasks of its priority and above. */
+    int tasksFittingWithoutLess(Job job) {
         double cpus = type.cpus() - cpusUsed;
         double gpus = type.gpus() - gpusUsed;
         double memory = type.memoryGb() - memoryUsed;
@@ -173,7 +176,12 @@
                 memory += c.job.spec.memoryGb();
             }
         }
-        return job.spec.cpus() <= cpus + 1e-6 && job.spec.gpus() <= gpus + 1e-6 && job.spec.memoryGb() <= memory + 1e-6;
+        return Math.min(fitting(cpus, job.spec.cpus()),
+                Math.min(fitting(gpus, job.spec.gpus()), fitting(memory, job.spec.memoryGb())));
+    }
+
+    private static int fitting(double free, double wanted) {
+        return wanted == 0 ? Integer.MAX_VALUE : (int) Math.max(0, (free + ROUNDING) / wanted);
     }
 
     void finished(double runS, double waitS, double thresholdS) {
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -26,8 +26,11 @@
     /** After so many times as long as a job was kept back for its image, it may be so again. */
     private static final int KEPT_BACK_AGAIN = 8;
 
-    /** A gang waits for the slowest of its fetches: they take up to a third longer, and some share their machine's rate. */
-    private static final double SLOWEST_FETCH = 2;
+    /** A gang waits for the slowest of its fetches: they take up to a third longer than the nominal rate says. */
+    private static final double SLOW_FETCH = 4 / 3.0;
+
+    /** When another image is fetched at the same time, both take as long as together. */
+    private static final double SHARED_FETCH = 2;
 
     /** Starts of one turn; more go on in the next, so that reports and renewals are not late. */
     private static final int STARTS_A_TURN = 400;
@@ -150,8 +153,11 @@
                 usable = m -> m != room;
             }
             keptBack = false;
-            List<Machine> machines = pick.spec.gang() ? chooseAll(pick, usable, now)
-                    : chooseOne(pick, usable, preempts, now);
+            List<Machine> machines = pick.spec.gang() ? chooseAll(pick, usable, now) : chooseOne(pick, usable, now);
+            if (preempts && !machines.isEmpty() && betterMakeRoom(pick, machines, now)) {
+                keptBack = true;
+                machines = List.of();
+            }
             if (!machines.isEmpty()) {
                 boolean first = overdue(pick, timeOfDay);
                 start.accept(pick, machines);
@@ -211,31 +217,39 @@
         return best;
     }
 
-    private List<Machine> chooseOne(Job job, Predicate<Machine> usable, boolean preempts, long now) {
+    private List<Machine> chooseOne(Job job, Predicate<Machine> usable, long now) {
         Machine machine = choose(job, usable, now);
-        keptBack = machine != null && preempts && betterMakeRoom(job, machine, now);
-        return machine == null || keptBack ? List.of() : List.of(machine);
+        return machine == null ? List.of() : List.of(machine);
     }
 
     /**
-     * Whether a critical task should rather have room made where its image is than fetch it here: stopping the work of
-     * a moment costs less than its users' wait. Only for half the time in which its tasks shall start.
+     * Whether a critical task, or an urgent gang, should rather have room made where its image is than fetch it here:
+     * stopping the work of a moment costs less than its users' wait. Only for half the time in which its tasks shall start.
      */
-    private boolean betterMakeRoom(Job job, Machine chosen, long now) {
-        if (job.spec.priority() != JobSpec.Priority.CRITICAL || chosen.hasImage(job.spec.image())
-                || !needsImage(job, chosen.type)) {
+    private boolean betterMakeRoom(Job job, List<Machine> chosen, long now) {
+        boolean mayAskForRoom = job.spec.priority() == JobSpec.Priority.CRITICAL
+                || job.spec.gang() && job.spec.priority() == JobSpec.Priority.URGENT;
+        double fetchTimes = job.spec.gang() ? SLOW_FETCH : 1;
+        if (!mayAskForRoom || fetches(job, chosen) == 0 || !fetchMissesAim(job, chosen.get(0).type, fetchTimes)) {
             return false;
         }
         long patience = Math.round(500 * startAim(job));
         if (now - job.keptBackAt > KEPT_BACK_AGAIN * patience) {
             job.keptBackAt = now; // another task, or the same lost once more
         }
-        if (now - job.keptBackAt > patience) {
-            return false;
-        }
+        return now - job.keptBackAt <= patience && roomCanBeMadeAtImage(job, now);
+    }
+
+    /** Whether one task, or a whole gang, would fit on machines that hold its image beside work that may not be stopped. */
+    private boolean roomCanBeMadeAtImage(Job job, long now) {
+        int wanted = job.spec.gang() ? job.spec.tasks() : 1;
+        Map<String, Integer> fitting = new HashMap<>();
         for (Machine m : board.machines.values()) {
-            if (m.heard && m.hasImage(job.spec.image()) && allowed(job, m, now) && m.hasRoomWithoutLess(job)) {
-                return true;
+            if (m.heard && m.hasImage(job.spec.image()) && allowed(job, m, now)) {
+                String together = job.spec.oneZone() ? m.zone : "";
+                if (fitting.merge(together, m.tasksFittingWithoutLess(job), Integer::sum) >= wanted) {
+                    return true;
+                }
             }
         }
         return false;
@@ -345,8 +359,12 @@
 
     /** True when the job is expected to start sooner than its image can be fetched. */
     boolean needsImage(Job job, MachineType type) {
-        double fetchS = job.spec.imageGb() / type.fetchGbPerS();
-        return startAim(job) < (job.spec.gang() ? SLOWEST_FETCH * fetchS : fetchS);
+        return fetchMissesAim(job, type, job.spec.gang() ? SHARED_FETCH : 1);
+    }
+
+    /** Whether a fetch that takes so many times its nominal time ends after the job is expected to start. */
+    private boolean fetchMissesAim(Job job, MachineType type, double times) {
+        return startAim(job) < times * job.spec.imageGb() / type.fetchGbPerS();
     }
 
     /** Seconds within which tasks of this job shall start; without end when nothing is said of that. */
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -32,9 +32,6 @@
     private final Placement placement;
     private int looksLeft;
 
-    /** CPUs and GPUs that teams are giving back already. */
-    private final Map<String, double[]> givenBack = new HashMap<>();
-
     Preemption(Board board, Placement placement) {
         this.board = board;
         this.placement = placement;
@@ -43,13 +40,59 @@
     /** A stop that was decided: the task and how long it may save. */
     record Stop(Claim victim, double graceS, Job forJob) {}
 
+    /** What has been decided so far in one turn. It can be copied, to try out one way to make room among several. */
+    private static final class Plan {
+        final List<Stop> stops = new ArrayList<>();
+
+        /** Claims that are stopping, or will be. */
+        final Set<Claim> going = new HashSet<>();
+
+        /** CPUs, GPUs and memory on machines that are kept for waiting tasks considered earlier. */
+        final Map<String, double[]> promised = new HashMap<>();
+
+        /** CPUs and GPUs that teams are giving back already. */
+        final Map<String, double[]> givenBack = new HashMap<>();
+
+        /** Images that the tasks whose room was made have yet to fetch. */
+        int fetches;
+
+        /** The work that the stops lose. */
+        long loss;
+
+        Plan copy() {
+            Plan copy = new Plan();
+            copy.stops.addAll(stops);
+            copy.going.addAll(going);
+            promised.forEach((machine, kept) -> copy.promised.put(machine, kept.clone()));
+            givenBack.forEach((team, sum) -> copy.givenBack.put(team, sum.clone()));
+            copy.fetches = fetches;
+            copy.loss = loss;
+            return copy;
+        }
+
+        void give(Claim claim) {
+            going.add(claim);
+            double[] sum = givenBack.computeIfAbsent(claim.job.spec.team(), n -> new double[2]);
+            sum[0] += claim.job.spec.cpus();
+            sum[1] += claim.job.spec.gpus();
+        }
+
+        void promise(Machine machine, JobSpec spec) {
+            double[] kept = promised.computeIfAbsent(machine.name, n -> new double[3]);
+            kept[0] += spec.cpus();
+            kept[1] += spec.gpus();
+            kept[2] += spec.memoryGb();
+        }
+
+        boolean betterThan(Plan other) {
+            return other == null || fetches < other.fetches || fetches == other.fetches && loss < other.loss;
+        }
+    }
+
     /** Decides for the waiting jobs, in queue order; room already being made is kept for the first that fit it. */
     List<Stop> decide(List<Job> waiting, long now, long urgentAfterMs, long timeOfDay) {
-        List<Stop> stops = new ArrayList<>();
-        Set<Claim> going = new HashSet<>();
-        givenBack.clear();
-        board.stopping.forEach(c -> give(going, c));
-        Map<String, double[]> promised = new HashMap<>(); // cpus, gpus, memory kept for earlier waiting tasks
+        Plan plan = new Plan();
+        board.stopping.forEach(plan::give);
         Map<List<Object>, Placement.Misfits> misfits = new HashMap<>();
         looksLeft = LOOKS_PER_MACHINE * board.machines.size() + LEAST_LOOKS;
         for (Job job : waiting) {
@@ -60,16 +103,16 @@
                 continue;
             }
             if (job.spec.gang()) {
-                makeRoomForAll(job, now, going, promised, stops);
+                plan = makeRoomForAll(job, now, plan);
                 continue;
             }
             Placement.Misfits same = misfits.computeIfAbsent(List.of(job.spec.priority(), job.withinGuarantee,
                     job.spec.team()), k -> new Placement.Misfits());
-            if (!same.cover(job) && makeRoom(job, null, now, going, promised, stops) == 0) {
+            if (!same.cover(job) && makeRoom(job, null, now, plan) == 0) {
                 same.add(job);
             }
         }
-        return stops;
+        return plan.stops;
     }
 
     /** Whether anything runs that might be stopped for this job; spares looking at every machine. */
@@ -87,73 +130,60 @@
         return false;
     }
 
-    private void give(Set<Claim> going, Claim claim) {
-        going.add(claim);
-        double[] sum = givenBack.computeIfAbsent(claim.job.spec.team(), n -> new double[2]);
-        sum[0] += claim.job.spec.cpus();
-        sum[1] += claim.job.spec.gpus();
-    }
-
     private boolean mayPreempt(Job job, long timeOfDay, long urgentAfterMs) {
         return job.withinGuarantee || job.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0
                 || job.spec.priority() == JobSpec.Priority.NORMAL && timeOfDay - job.acceptedAt > urgentAfterMs;
     }
 
-    /** Room for a part of a gang helps nobody: it is made for all its tasks, where they may be together, or not at all. */
-    private void makeRoomForAll(Job job, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
+    /**
+     * Room for a part of a gang helps nobody: it is made for all its tasks or not at all, and where they must be in one
+     * zone, in the one where least has to be fetched and lost. Returns the plan to go on with.
+     */
+    private Plan makeRoomForAll(Job job, long now, Plan before) {
         int tasks = job.waitingCount();
+        Plan best = null;
         for (String zone : job.spec.oneZone() ? board.settings.zones() : Collections.<String>singletonList(null)) {
-            Set<Claim> goingThen = new HashSet<>(going);
-            Map<String, double[]> promisedThen = new HashMap<>();
-            promised.forEach((machine, kept) -> promisedThen.put(machine, kept.clone()));
-            Map<String, double[]> givenBefore = new HashMap<>();
-            givenBack.forEach((team, sum) -> givenBefore.put(team, sum.clone()));
-            List<Stop> stopsThen = new ArrayList<>();
-            if (makeRoom(job, zone, now, goingThen, promisedThen, stopsThen) == tasks) {
-                going.addAll(goingThen);
-                promised.putAll(promisedThen);
-                stops.addAll(stopsThen);
-                return;
+            Plan here = before.copy();
+            if (makeRoom(job, zone, now, here) == tasks && here.betterThan(best)) {
+                best = here;
             }
-            givenBack.clear();
-            givenBack.putAll(givenBefore);
         }
+        return best == null ? before : best;
     }
 
     /** One machine where room can be made, with what that costs. */
     private record Option(Machine machine, List<Claim> victims, boolean fetch, long loss) {}
 
     /** Makes room for as many waiting tasks of a job as can be, in one zone or (null) in any; returns for how many. */
-    private int makeRoom(Job job, String zone, long now, Set<Claim> going, Map<String, double[]> promised, List<Stop> stops) {
+    private int makeRoom(Job job, String zone, long now, Plan plan) {
         PriorityQueue<Option> options = new PriorityQueue<>(Comparator.comparing(Option::fetch)
                 .thenComparingLong(Option::loss).thenComparing(Option::machine));
         for (Machine m : board.machines.values()) {
             if (m.heard && (zone == null || zone.equals(m.zone)) && placement.allowed(job, m, now)) {
-                offer(options, option(job, m, now, going, promised));
+                looksLeft--;
+                offer(options, option(job, m, now, plan));
             }
         }
-        looksLeft -= board.machines.size();
         int made = 0;
         int tasks = job.waitingCount();
         while (made < tasks && looksLeft > 0 && !options.isEmpty()) {
             Option best = options.poll();
             looksLeft--;
             // what was decided since may have made it dearer, or not allowed any more
-            Option again = option(job, best.machine, now, going, promised);
+            Option again = option(job, best.machine, now, plan);
             if (again == null || again.loss > best.loss) {
                 offer(options, again);
                 continue;
             }
-            double[] kept = promised.computeIfAbsent(best.machine.name, n -> new double[3]);
-            kept[0] += job.spec.cpus();
-            kept[1] += job.spec.gpus();
-            kept[2] += job.spec.memoryGb();
+            plan.promise(best.machine, job.spec);
+            plan.fetches += again.fetch ? 1 : 0;
+            plan.loss += again.loss;
             for (Claim v : again.victims) {
-                give(going, v);
-                stops.add(new Stop(v, hurry(job, v) ? 0 : v.job.spec.saveS(), job));
+                plan.give(v);
+                plan.stops.add(new Stop(v, hurry(job, v) ? 0 : v.job.spec.saveS(), job));
             }
             made++;
-            offer(options, option(job, best.machine, now, going, promised));
+            offer(options, option(job, best.machine, now, plan));
         }
         return made;
     }
@@ -164,8 +194,8 @@
         }
     }
 
-    private Option option(Job job, Machine m, long now, Set<Claim> going, Map<String, double[]> promised) {
-        List<Claim> victims = victims(job, m, now, going, promised.getOrDefault(m.name, NOTHING));
+    private Option option(Job job, Machine m, long now, Plan plan) {
+        List<Claim> victims = victims(job, m, now, plan);
         if (victims == null) {
             return null;
         }
@@ -191,7 +221,8 @@
     }
 
     /** The tasks to stop on this machine so that one more task of the job fits; null when that can't be done. */
-    private List<Claim> victims(Job job, Machine m, long now, Set<Claim> going, double[] kept) {
+    private List<Claim> victims(Job job, Machine m, long now, Plan plan) {
+        double[] kept = plan.promised.getOrDefault(m.name, NOTHING);
         double cpus = m.type.cpus() - kept[0] - job.spec.cpus();
         double gpus = m.type.gpus() - kept[1] - job.spec.gpus();
         double memory = m.type.memoryGb() - kept[2] - job.spec.memoryGb();
@@ -199,13 +230,13 @@
         double givenCpus = 0;
         double givenGpus = 0;
         for (Claim c : m.claims.values()) {
-            if (going.contains(c)) {
+            if (plan.going.contains(c)) {
                 continue;
             }
             cpus -= c.job.spec.cpus();
             gpus -= c.job.spec.gpus();
             memory -= c.job.spec.memoryGb();
-            if (!(c.overdue && c.ranMs(now) < OVERDUE_RUN_MS) && mayStop(job, c, 0, 0)) {
+            if (!(c.overdue && c.ranMs(now) < OVERDUE_RUN_MS) && mayStop(job, c, plan, 0, 0)) {
                 candidates.add(c);
             }
         }
@@ -216,7 +247,7 @@
             if (fits(cpus, gpus, memory)) {
                 break;
             }
-            if (mayStop(job, c, givenCpus, givenGpus)) {
+            if (mayStop(job, c, plan, givenCpus, givenGpus)) {
                 victims.add(c);
                 cpus += c.job.spec.cpus();
                 gpus += c.job.spec.gpus();
@@ -232,7 +263,7 @@
         return cpus > -1e-6 && gpus > -1e-6 && memory > -1e-6;
     }
 
-    private boolean mayStop(Job job, Claim c, double givenCpus, double givenGpus) {
+    private boolean mayStop(Job job, Claim c, Plan plan, double givenCpus, double givenGpus) {
         if (job.spec.priority().compareTo(c.job.spec.priority()) < 0) {
             return true;
         }
@@ -241,7 +272,7 @@
         if (job.spec.priority().compareTo(c.job.spec.priority()) > 0) {
             return false;
         }
-        double[] back = givenBack.getOrDefault(c.job.spec.team(), new double[2]);
+        double[] back = plan.givenBack.getOrDefault(c.job.spec.team(), new double[2]);
         return job.withinGuarantee && !c.job.withinGuarantee && !c.job.spec.team().equals(job.spec.team())
                 && board.beyondGuarantee(c.job.spec.team(), back[0] + givenCpus, back[1] + givenGpus);
     }
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import stileferry.protocol.JobSpec;
@@ -21,20 +22,24 @@
 
     @BeforeEach
     void oneMachine() {
-        Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za"),
+        Settings settings = new Settings("n0", "za", null, null, List.of(), "c", "s", List.of("za", "zb"),
                 List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)),
                 List.of(new Settings.Objective("wait", "swift", 0.5, 0.9)),
                 new Settings.Workers(2, 10, 20), new Settings.State(100, 50, 8, 12), new Settings.Cloud(5, 3), 1, 100, 5);
         board = new Board(settings);
-        board.types = List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za")));
+        board.types = List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za", "zb")));
         placement = new Placement(board);
         machine = machine("m");
     }
 
     private Machine machine(String name) {
+        return machine(name, "za");
+    }
+
+    private Machine machine(String name, String zone) {
         Machine m = board.machine(name);
         m.type = board.types.get(0);
-        board.setZone(m, "za");
+        board.setZone(m, zone);
         m.heard = true;
         m.heardAt = NOW;
         board.rooms.update(m);
@@ -98,6 +103,55 @@
         assertEquals(List.of(other), started, "it does not wait for longer than half its time to start");
     }
 
+    private Job urgentGangInOneZone(int tasks) {
+        Job job = new Job(new JobSpec("job-" + ++jobs, "swift", "red", JobSpec.Kind.GANG, JobSpec.Priority.URGENT, tasks, 2, 0,
+                1, "img", 1, null, null, true, false, false, 60, 0, 0, -1), jobs, 0, 0);
+        job.accepted = true;
+        board.jobs.put(job.spec.id(), job);
+        return job;
+    }
+
+    /** Found on the bench: half of the gangs waited for an image longer than their time to start, with room elsewhere. */
+    @Test
+    void aGangGoesToTheZoneWhereLeastOfItHasToFetch() {
+        Machine first = machine("zb-1", "zb");
+        Machine second = machine("zb-2", "zb");
+        first.holds("img", 1);
+        second.holds("img", 1);
+        machine.holds("img", 1); // the tightest fit, but it lacks room for all
+        run(job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 4), 10_000);
+        machine("za-2");
+        urgentGangInOneZone(6);
+        List<Machine> started = new ArrayList<>();
+        placement.pass(NOW, 1000, false, (job, machines) -> {
+            started.addAll(machines);
+            job.cancelled = true;
+        });
+        assertEquals(6, started.size());
+        assertEquals(Set.of(first, second), Set.copyOf(started));
+    }
+
+    @Test
+    void anUrgentGangTakesRoomWhereItsImageIs() {
+        machine.holds("img", 1);
+        Job idle = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.IDLE, 2, 4);
+        run(idle, 10_000);
+        run(idle, 10_000);
+        machine("other");
+        urgentGangInOneZone(3);
+        List<Machine> started = new ArrayList<>();
+        List<Job> waiting = placement.pass(NOW, 1000, true, (job, machines) -> started.addAll(machines));
+        assertEquals(List.of(), started);
+        List<Preemption.Stop> stops = new Preemption(board, placement).decide(waiting, NOW, 60_000, 1000);
+        assertEquals(2, stops.size(), "room for all three");
+        assertEquals(Set.of("m"), Set.copyOf(stops.stream().map(s -> s.victim().machine).toList()));
+        placement.pass(NOW + 300, 1000, true, (job, machines) -> {
+            started.addAll(machines);
+            job.cancelled = true;
+        });
+        assertEquals(3, started.size(), "it does not wait for longer than half its time to start");
+    }
+
     @Test
     void aGuaranteeTakesBorrowedRoomBackButNoMore() {
         Job borrowed = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 4, 2);
