--- a/src/main/java/stileferry/coordination/Claim.java
+++ b/src/main/java/stileferry/coordination/Claim.java
@@ -80,6 +80,11 @@
         return checkpoint > 0 ? Math.min(ran, checkpoint) : ran;
     }
 
+    /** What a stop costs in all, in milliseconds: a gang stops whole, and each stop costs something. */
+    long stopCostMs(long now) {
+        return (1 + lossMs(now)) * (job.spec.gang() ? job.claims.size() : 1);
+    }
+
     /** How long it has been seen running, in milliseconds. */
     long ranMs(long now) {
         return runningAt == 0 ? 0 : now - runningAt;
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -200,8 +200,8 @@
             return null;
         }
         long loss = 0;
-        for (Claim v : victims) { // a gang is stopped whole
-            loss += (1 + v.lossMs(now)) * (v.job.spec.gang() ? v.job.claims.size() : 1);
+        for (Claim v : victims) {
+            loss += v.stopCostMs(now);
         }
         boolean fetch = placement.needsImage(job, m.type) && !m.hasImage(job.spec.image());
         return new Option(m, victims, fetch, loss);
@@ -241,7 +241,7 @@
             }
         }
         candidates.sort(Comparator.<Claim>comparingInt(c -> -c.job.spec.priority().ordinal())
-                .thenComparingLong(c -> c.lossMs(now)));
+                .thenComparingLong(c -> c.stopCostMs(now)));
         List<Claim> victims = new ArrayList<>();
         for (Claim c : candidates) {
             if (fits(cpus, gpus, memory)) {
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -152,6 +152,21 @@
         assertEquals(3, started.size(), "it does not wait for longer than half its time to start");
     }
 
+    /** Found on the bench: gangs lost many times what one of their tasks seemed to, when that task was stopped. */
+    @Test
+    void whatAGangLosesCountsForAllOfItsTasks() {
+        Job gang = job("blue", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, 2, 4);
+        run(gang, 80_000);
+        Machine other = machine("other");
+        Claim elsewhere = new Claim(gang, 1, jobs, other.name, 1, 80_000);
+        elsewhere.runningAt = 80_000;
+        board.add(elsewhere);
+        Claim array = run(job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 4), 70_000);
+        other.draining = true;
+        job("red", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 1, 2);
+        assertEquals(List.of(array), decide().stream().map(Preemption.Stop::victim).toList());
+    }
+
     @Test
     void aGuaranteeTakesBorrowedRoomBackButNoMore() {
         Job borrowed = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 4, 2);
