Operators see what became of gangs' attempts; an image is known as soon as a gang's task waits for the others

admin show leader counts attempts, starts, saved stops, and attempts that were incomplete, lost a task or failed; the debug log tells when all of a gang runs.

--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -89,6 +89,9 @@
         /** It is proven that the task is not on its machine and can't come there any more. */
         void gone(Claim claim, String proof);
 
+        /** All tasks of a gang run. */
+        void gangRuns(Job job);
+
         /** A task has to leave its machine; a gang's others have to stop with it. */
         void stopWhole(Claim claim, double graceS);
 
@@ -293,14 +296,10 @@
     private void see(Machine m, Claim c, Report.TaskState t, long now) {
         if (c.stage != t.stage()) {
             c.stage = t.stage();
-            if (t.stage() == Report.Stage.RUNNING || t.stage() == Report.Stage.SAVING) {
-                if (c.runningAt == 0) {
-                    c.runningAt = now;
-                    LOG.debug("{} of {} runs on {} in {}, ordered {} ms ago", c.name, c.job.spec.jobClass(), m.name,
-                            m.zone, c.orderedAt == 0 ? -1 : now - c.orderedAt);
-                    c.job.begun = true;
-                    m.holds(c.job.spec.image(), c.job.spec.imageGb());
-                }
+            switch (t.stage()) {
+                case WAITING -> m.holds(c.job.spec.image(), c.job.spec.imageGb());
+                case RUNNING, SAVING -> running(m, c, now);
+                default -> { }
             }
         }
         if (t.stage() == Report.Stage.EXITED) {
@@ -308,6 +307,20 @@
         }
     }
 
+    private void running(Machine m, Claim c, long now) {
+        if (c.runningAt != 0) {
+            return;
+        }
+        c.runningAt = now;
+        LOG.debug("{} of {} runs on {} in {}, ordered {} ms ago", c.name, c.job.spec.jobClass(), m.name, m.zone,
+                c.orderedAt == 0 ? -1 : now - c.orderedAt);
+        c.job.begun = true;
+        m.holds(c.job.spec.image(), c.job.spec.imageGb());
+        if (c.job.spec.gang() && c.job.runningCount() == c.job.spec.tasks()) {
+            events.gangRuns(c.job);
+        }
+    }
+
     /** What a notice asks for: save what can be saved, and move what has to run elsewhere. */
     private void leave(Machine m, long now) {
         for (Claim c : List.copyOf(m.claims.values())) {
--- /dev/null
+++ b/src/main/java/stileferry/coordination/GangCounters.java
@@ -0,0 +1,54 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import stileferry.protocol.Report;
+import stileferry.protocol.Wire;
+
+/** Counts what became of the attempts of gangs in one term, each attempt once, by the first task that ended. */
+final class GangCounters {
+    private long attempts;
+    private long started;
+    private long saved;
+    private long incomplete;
+    private long lost;
+    private long failed;
+
+    /** A gang's claims were decided on. */
+    void attempted() {
+        attempts++;
+    }
+
+    /** All tasks of a gang run. */
+    void started() {
+        started++;
+    }
+
+    /** A task of a gang has exited without being done. */
+    void exited(Claim claim, Report.TaskState task) {
+        if (!isFirstOfItsAttempt(claim)) {
+            return;
+        }
+        switch (task.why()) {
+            case Report.HALTED -> saved += task.saved() ? 1 : 0;
+            case Report.INCOMPLETE -> incomplete++;
+            case Report.PEERS -> lost++;
+            default -> failed++;
+        }
+    }
+
+    /** A task of a gang is gone with its machine or its lease. */
+    void gone(Claim claim) {
+        lost += isFirstOfItsAttempt(claim) ? 1 : 0;
+    }
+
+    private static boolean isFirstOfItsAttempt(Claim claim) {
+        boolean first = claim.job.endedAttempt != claim.attempt;
+        claim.job.endedAttempt = claim.attempt;
+        return first;
+    }
+
+    ObjectNode describe() {
+        return Wire.map().put("attempts", attempts).put("started", started).put("stopped_and_saved", saved)
+                .put("incomplete", incomplete).put("lost_a_task", lost).put("failed", failed);
+    }
+}
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -59,6 +59,9 @@
     /** Its end is durable. */
     boolean over;
 
+    /** The highest attempt of a gang of which a task has ended without being done; 0: none. */
+    long endedAttempt;
+
     boolean withinGuarantee;
 
     /** Since when room is being made for it where its image is; 0: not so. */
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -53,6 +53,7 @@
     private final Provisioning provisioning;
     private final Consolidation consolidation;
     private final Users users;
+    private final GangCounters gangCounters = new GangCounters();
     private final long roundMs;
 
     private long numbers;
@@ -337,7 +338,11 @@
         // The tasks of a gang find each other by their attempt, so it is the same for all of them.
         long attempt = term * ATTEMPTS_PER_TERM + ++numbers;
         boolean overdue = placement.overdue(job, outside.timeOfDay());
-        GangAttempt gangAttempt = job.spec.gang() ? new GangAttempt(machines.size()) : null;
+        GangAttempt gangAttempt = null;
+        if (job.spec.gang()) {
+            gangAttempt = new GangAttempt(machines.size());
+            gangCounters.attempted();
+        }
         for (Machine machine : machines) {
             Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
             claim.overdue = overdue;
@@ -454,6 +459,9 @@
             }
             default -> { }
         }
+        if (job.spec.gang()) {
+            gangCounters.exited(claim, t);
+        }
         stopGang(claim, t.saved());
     }
 
@@ -497,6 +505,12 @@
         return others;
     }
 
+    @Override
+    public void gangRuns(Job job) {
+        gangCounters.started();
+        LOG.debug("all {} tasks of {} of {} run", job.spec.tasks(), job.spec.id(), job.spec.jobClass());
+    }
+
     @Override
     public void stopWhole(Claim claim, double graceS) {
         stop(claim, graceS);
@@ -528,6 +542,9 @@
         if (claim.job.claims.get(claim.index) == claim) {
             LOG.debug("{} is not on {} any more: {}", claim.name, claim.machine, proof);
             settle(claim, false, null);
+            if (claim.job.spec.gang()) {
+                gangCounters.gone(claim);
+            }
             stopGang(claim, false);
         }
     }
@@ -632,7 +649,8 @@
     private ObjectNode describe() {
         return Wire.map().put("leader", settings.node()).put("term", term)
                 .put("active_s", (outside.now() - activeAt) / 1000.0).put("live_jobs", board.jobs.size())
-                .put("machines", board.machines.size()).put("changes_waiting", ledger.backlog());
+                .put("machines", board.machines.size()).put("changes_waiting", ledger.backlog())
+                .set("gangs", gangCounters.describe());
     }
 
     private void cancel(Job job) {
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -21,8 +21,17 @@
     private static final String TASKS = "passengers";
     private static final byte[] NO_BODY = new byte[0];
 
-    /** Where a task stands on its worker. */
-    public enum Stage { FETCHING, RUNNING, SAVING, EXITED }
+    /** Exited: stopped by command. */
+    public static final String HALTED = "halted";
+
+    /** Exited: another task of the gang is gone. */
+    public static final String PEERS = "peers";
+
+    /** Exited: the gang was not complete in time. */
+    public static final String INCOMPLETE = "incomplete";
+
+    /** Where a task stands on its worker; a gang's task that has its image waits for the others. */
+    public enum Stage { FETCHING, WAITING, RUNNING, SAVING, EXITED }
 
     /** One task of a report; {@code why} is empty unless it has exited. */
     public record TaskState(String task, long attempt, Stage stage, String why, boolean saved) {
@@ -130,7 +139,7 @@
         while (p.nextToken() == JsonToken.START_OBJECT) {
             String task = "";
             long attempt = 0;
-            Stage stage = Stage.FETCHING; // also a gang's task that waits for the others
+            Stage stage = Stage.FETCHING; // also for words that are not known yet
             String why = "";
             boolean saved = false;
             for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
@@ -139,6 +148,7 @@
                     case "passenger" -> task = p.getValueAsString("");
                     case "launch" -> attempt = p.getValueAsLong();
                     case "tide" -> stage = switch (p.getValueAsString("")) {
+                        case "waiting" -> Stage.WAITING;
                         case "running" -> Stage.RUNNING;
                         case "saving" -> Stage.SAVING;
                         case "exited" -> Stage.EXITED;
