--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -23,6 +23,7 @@
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Machine> machines = new TreeMap<>();
     final Rooms rooms = new Rooms();
+    final Reservations reservations = new Reservations();
 
     /** Accepted jobs whose records can't be read. */
     final Set<String> unreadable = new HashSet<>();
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -310,6 +310,7 @@
         long now = outside.now();
         boolean preempts = settled() && board.options.flag(Options.PREEMPTION);
         List<Job> waiting = placement.pass(now, outside.timeOfDay(), preempts, this::start);
+        board.reservations.clear();
         if (preempts) {
             makeRoom(waiting, now);
         }
@@ -338,6 +339,7 @@
         // The tasks of a gang find each other by their attempt, so it is the same for all of them.
         long attempt = term * ATTEMPTS_PER_TERM + ++numbers;
         boolean overdue = placement.overdue(job, outside.timeOfDay());
+        board.reservations.remove(job);
         GangAttempt gangAttempt = null;
         if (job.spec.gang()) {
             gangAttempt = new GangAttempt(machines.size());
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -159,9 +159,14 @@
 
     /** Whether a task of this job fits beside all that may be here. */
     boolean hasRoom(Job job) {
-        return cpusUsed + job.spec.cpus() <= type.cpus() + ROUNDING
-                && gpusUsed + job.spec.gpus() <= type.gpus() + ROUNDING
-                && memoryUsed + job.spec.memoryGb() <= type.memoryGb() + ROUNDING;
+        return hasRoom(job.spec.cpus(), job.spec.gpus(), job.spec.memoryGb());
+    }
+
+    /** Whether so much fits beside all that may be here. */
+    boolean hasRoom(double cpus, double gpus, double memoryGb) {
+        return cpusUsed + cpus <= type.cpus() + ROUNDING
+                && gpusUsed + gpus <= type.gpus() + ROUNDING
+                && memoryUsed + memoryGb <= type.memoryGb() + ROUNDING;
     }
 
     /** How many tasks of this job would fit beside the tasks of its priority and above. */
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -318,7 +318,7 @@
         }
         Machine[] best = new Machine[1];
         board.rooms.atLeast(job.spec.cpus(), m -> {
-            if (m.hasRoom(job) && allowed(job, m, now) && usable.test(m)
+            if (m.hasRoom(job) && board.reservations.leaveRoom(m, job) && allowed(job, m, now) && usable.test(m)
                     && (best[0] == null || better(job, m, best[0]))) {
                 best[0] = m;
             }
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -56,6 +56,9 @@
         /** Images that the tasks whose room was made have yet to fetch. */
         int fetches;
 
+        /** Waiting tasks for which room was found, with the machine. */
+        final List<Map.Entry<Job, Machine>> placed = new ArrayList<>();
+
         /** The work that the stops lose. */
         long loss;
 
@@ -65,11 +68,21 @@
             copy.going.addAll(going);
             promised.forEach((machine, kept) -> copy.promised.put(machine, kept.clone()));
             givenBack.forEach((team, sum) -> copy.givenBack.put(team, sum.clone()));
+            copy.placed.addAll(placed);
             copy.fetches = fetches;
             copy.loss = loss;
             return copy;
         }
 
+        /** Takes in that a claimed task is stopped, and with it the rest of its gang. */
+        void stop(Claim victim) {
+            if (victim.job.spec.gang()) {
+                victim.job.claims.values().stream().filter(c -> !going.contains(c)).forEach(this::give);
+            } else {
+                give(victim);
+            }
+        }
+
         void give(Claim claim) {
             going.add(claim);
             double[] sum = givenBack.computeIfAbsent(claim.job.spec.team(), n -> new double[2]);
@@ -77,11 +90,12 @@
             sum[1] += claim.job.spec.gpus();
         }
 
-        void promise(Machine machine, JobSpec spec) {
+        void promise(Machine machine, Job job) {
             double[] kept = promised.computeIfAbsent(machine.name, n -> new double[3]);
-            kept[0] += spec.cpus();
-            kept[1] += spec.gpus();
-            kept[2] += spec.memoryGb();
+            kept[0] += job.spec.cpus();
+            kept[1] += job.spec.gpus();
+            kept[2] += job.spec.memoryGb();
+            placed.add(Map.entry(job, machine));
         }
 
         boolean betterThan(Plan other) {
@@ -112,6 +126,8 @@
                 same.add(job);
             }
         }
+        board.reservations.clear();
+        plan.placed.forEach(task -> board.reservations.add(task.getKey(), task.getValue()));
         return plan.stops;
     }
 
@@ -175,11 +191,11 @@
                 offer(options, again);
                 continue;
             }
-            plan.promise(best.machine, job.spec);
+            plan.promise(best.machine, job);
             plan.fetches += again.fetch ? 1 : 0;
             plan.loss += again.loss;
             for (Claim v : again.victims) {
-                plan.give(v);
+                plan.stop(v);
                 plan.stops.add(new Stop(v, hurry(job, v) ? 0 : v.job.spec.saveS(), job));
             }
             made++;
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -152,6 +152,37 @@
         assertEquals(3, started.size(), "it does not wait for longer than half its time to start");
     }
 
+    /**
+     * Found on the bench: while room was made for an urgent gang, a less urgent one took what was free of it already, and was
+     * stopped again at once, fifty times a second.
+     */
+    @Test
+    void roomThatIsBeingMadeIsKeptFromLessUrgentWork() {
+        Job idle = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.IDLE, 2, 4);
+        run(idle, 10_000);
+        Claim second = run(idle, 10_000);
+        Job gang = urgentGangInOneZone(4);
+        List<Preemption.Stop> stops = decide();
+        assertEquals(2, stops.size());
+        stops.forEach(stop -> board.stop(stop.victim(), 5, NOW));
+        board.remove(second, false);
+        idle.cancelled = true;
+        Job normal = job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 2);
+        Job critical = job("blue", JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, 1, 2);
+        List<Job> started = new ArrayList<>();
+        placement.pass(NOW, 1000, true, (job, machines) -> {
+            started.add(job);
+            job.cancelled = true;
+        });
+        assertEquals(List.of(critical), started, "neither the gang, which lacks room, nor the less urgent job");
+        board.reservations.remove(gang);
+        placement.pass(NOW, 1000, true, (job, machines) -> {
+            started.add(job);
+            job.cancelled = true;
+        });
+        assertEquals(List.of(critical, normal), started);
+    }
+
     /** Found on the bench: gangs lost many times what one of their tasks seemed to, when that task was stopped. */
     @Test
     void whatAGangLosesCountsForAllOfItsTasks() {
