--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -368,7 +368,7 @@
     }
 
     /** Seconds within which tasks of this job shall start; without end when nothing is said of that. */
-    private double startAim(Job job) {
+    double startAim(Job job) {
         for (Settings.Objective aim : board.settings.objectives()) {
             if (aim.kind().equals("wait") && aim.jobClass().equals(job.spec.jobClass())) {
                 return aim.withinS();
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -26,6 +26,9 @@
     /** The first task of a job that had waited too long runs for so long before it may be stopped. */
     private static final long OVERDUE_RUN_MS = 30_000;
 
+    /** The share of its time to start that a gang waits for free room before others are stopped for it. */
+    private static final double GANG_PATIENCE = 0.25;
+
     private static final double[] NOTHING = new double[3];
 
     private final Board board;
@@ -147,8 +150,14 @@
     }
 
     private boolean mayPreempt(Job job, long timeOfDay, long urgentAfterMs) {
-        return job.withinGuarantee || job.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0
-                || job.spec.priority() == JobSpec.Priority.NORMAL && timeOfDay - job.acceptedAt > urgentAfterMs;
+        if (job.withinGuarantee || job.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0) {
+            return true;
+        }
+        long waitedMs = timeOfDay - job.acceptedAt;
+        // a machine to be rented boots too late for a gang that is to start soon, so it doesn't wait for one
+        double patienceMs = job.spec.gang()
+                ? Math.min(urgentAfterMs, GANG_PATIENCE * 1000 * placement.startAim(job)) : urgentAfterMs;
+        return job.spec.priority() == JobSpec.Priority.NORMAL && waitedMs > patienceMs;
     }
 
     /**
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -183,6 +183,19 @@
         assertEquals(List.of(critical, normal), started);
     }
 
+    /** Found on the bench: gangs with 15 s to start waited 15 s, a boot time, before idle work was stopped for them. */
+    @Test
+    void aGangThatIsToStartSoonDoesNotWaitForAMachineToBoot() {
+        run(job("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.IDLE, 1, 8), 10_000);
+        Job gang = job("swift", "blue", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, 2, 2);
+        List<Job> waiting = placement.pass(NOW, 1000, true, (job, machines) -> { });
+        assertEquals(List.of(gang), waiting);
+        assertEquals(List.of(), new Preemption(board, placement).decide(waiting, NOW, 60_000, 100));
+        assertEquals(1, new Preemption(board, placement).decide(waiting, NOW, 60_000, 150).size());
+        Job array = job("swift", "blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 2, 2);
+        assertEquals(List.of(), new Preemption(board, placement).decide(List.of(array), NOW, 60_000, 150));
+    }
+
     /** Found on the bench: gangs lost many times what one of their tasks seemed to, when that task was stopped. */
     @Test
     void whatAGangLosesCountsForAllOfItsTasks() {
