--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -163,6 +163,12 @@
         return true;
     }
 
+    /** Whether all tasks are claimed under one attempt number. */
+    boolean claimsFormOneAttempt() {
+        return claims.size() == spec.tasks()
+                && claims.values().stream().mapToLong(claim -> claim.attempt).distinct().count() == 1;
+    }
+
     int waitingCount() {
         return cancelled || ending || !accepted ? 0 : spec.tasks() - taken.cardinality();
     }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -227,10 +227,7 @@
         // the version before stored that one task of a gang was done, and might have started the others again
         board.jobs.values().stream().filter(j -> j.spec.gang() && j.doneCount() > 0)
                 .forEach(j -> finishGang(j, null));
-        // nothing of such an attempt was started, or one of its tasks is gone: it can't be completed
-        board.jobs.values().stream().filter(j -> j.spec.gang() && !j.claims.isEmpty()
-                && j.claims.size() < j.spec.tasks()).forEach(j -> List.copyOf(j.claims.values()).forEach(c ->
-                board.stop(c, j.spec.saveS(), outside.now())));
+        board.jobs.values().forEach(this::stopBrokenAttempt);
         silences.takeOver(reader.silences());
         active = true;
         activeAt = outside.now();
@@ -247,6 +244,17 @@
         tick();
     }
 
+    /**
+     * An attempt of a gang that was read with fewer claims than tasks was not started, or has lost a task; and an older
+     * version may have left claims of different attempts, whose tasks would wait for each other in vain. Neither can be
+     * completed, nor can its tasks save, so they stop at once and the gang starts again whole.
+     */
+    private void stopBrokenAttempt(Job job) {
+        if (job.spec.gang() && !job.claims.isEmpty() && !job.claimsFormOneAttempt()) {
+            List.copyOf(job.claims.values()).forEach(claim -> board.stop(claim, 0, outside.now()));
+        }
+    }
+
     private void tick() {
         if (closed) {
             return;
--- a/src/test/java/stileferry/coordination/GangTest.java
+++ b/src/test/java/stileferry/coordination/GangTest.java
@@ -7,6 +7,8 @@
 import static stileferry.coordination.RulesTest.array;
 import static stileferry.coordination.RulesTest.restart;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -154,6 +156,28 @@
         assertEquals("done", second.end);
     }
 
+    /** A version before started a gang's tasks one by one, so that a leader may find claims of more than one attempt. */
+    @Test
+    void claimsOfDifferentAttemptsAreStoppedAndTheGangStartsWhole() {
+        World w = begun(40, gang(1, JobSpec.Priority.URGENT, 6, true, 30));
+        w.nodes.values().forEach(World.Node::crash);
+        int changed = 0;
+        for (int slot = 0; slot < 1024; slot++) {
+            JsonNode record = w.state.value("l/" + slot);
+            for (JsonNode event : record == null ? List.<JsonNode>of() : record.path("e")) {
+                if (event.path(0).asInt() == 0 && event.path(2).asInt() == 5) {
+                    ((ArrayNode) event).set(3, event.path(3).asLong() + 7);
+                    changed++;
+                }
+            }
+        }
+        assertEquals(1, changed);
+        w.nodes.values().forEach(World.Node::start);
+        w.play(90);
+        assertEquals(List.of(), w.violations);
+        assertEquals("done", w.users.get("job-1").end);
+    }
+
     /** Room is made for all its tasks at once, in the one zone where it may be. */
     @Test
     void lessUrgentWorkMakesRoomForAllOfIt() {
