--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -642,6 +642,12 @@
         return silent;
     }
 
+    /** Whether a command that is sent now can be expected to arrive: the machine reports in time, and heard us before. */
+    boolean hears(Machine m) {
+        return m.heard && !m.deleting && m.unreachedSince == 0
+                && outside.now() - m.heardAt <= PROBE_AFTER_REPORTS * reportMs;
+    }
+
     /** True when nothing was heard for longer than reports can take. */
     boolean silent(Machine m) {
         return m.heard && outside.now() - m.heardAt > 2 * reportMs;
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -391,10 +391,27 @@
      * what it did.
      */
     private void stop(Claim claim, double graceS) {
-        stopOne(claim, graceS);
         if (claim.job.spec.gang()) {
-            stopOthers(claim, graceS);
+            double together = graceS > 0 && !allHear(claim.job) ? 0 : graceS;
+            stopOne(claim, together);
+            stopOthers(claim, together);
+        } else {
+            stopOne(claim, graceS);
+        }
+    }
+
+    /**
+     * Whether all tasks of a gang can be expected to hear a stop in time. If one does not, the others can't save; told to,
+     * they would only wait for it, and what they did since their last checkpoint is lost all the same.
+     */
+    private boolean allHear(Job gang) {
+        for (Claim claim : gang.claims.values()) {
+            if (!fleet.hears(board.machine(claim.machine))) {
+                LOG.info("gang {} is stopped without saving: {} may not hear it", gang.spec.id(), claim.machine);
+                return false;
+            }
         }
+        return true;
     }
 
     /** One that its machine has never heard of is simply not there. */
--- a/src/test/java/stileferry/coordination/GangTest.java
+++ b/src/test/java/stileferry/coordination/GangTest.java
@@ -92,6 +92,23 @@
         assertEquals(List.of(), w.violations);
     }
 
+    /** Where one machine can't hear the stop, the others can't save; they do not wait for it. */
+    @Test
+    void aStopThatNotAllCanHearDoesNotWaitForASave() {
+        World w = begun(5, gang(1, JobSpec.Priority.URGENT, 6, true, 100));
+        List<String> machines = List.copyOf(w.machinesOf(w.users.get("job-1")));
+        w.cut("w-" + machines.get(0) + ":1", 7000);
+        w.play(5);
+        assertEquals(6, w.running());
+        Worker other = w.workers.get("w-" + machines.get(1) + ":1");
+        long there = w.runningOn(other.machine());
+        other.notice(12);
+        w.play(1.2);
+        assertEquals(6 - there, w.running(), "what hears the stop is gone");
+        w.play(60);
+        assertEquals(List.of(), w.violations);
+    }
+
     /** When one task is done all are, and no leader may start the others alone. */
     @ParameterizedTest
     @ValueSource(ints = {0, 20, 60, 150, 400, 900})
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -768,6 +768,11 @@
         return taskOn.keySet().stream().filter(task -> task.startsWith(user.spec.id() + "/")).count();
     }
 
+    /** Tasks that are on one machine now. */
+    long runningOn(String machine) {
+        return taskOn.values().stream().filter(on -> on.startsWith(machine + "|")).count();
+    }
+
     /** Tasks that are on machines now. */
     int running() {
         return taskOn.size();
