--- a/src/test/java/stileferry/protocol/MessagesTest.java
+++ b/src/test/java/stileferry/protocol/MessagesTest.java
@@ -98,7 +98,7 @@
     }
 
     /**
-     * The version that runs in production while this one comes, f7fe539, writes a term as type 3, the term, the leader's
+     * The first version with gangs, f7fe539, writes a term as type 3, the term, the leader's
      * name and whether its sender leads, and reads just these; what follows it never looks at.
      */
     @Test
