--- a/src/test/java/stileferry/coordination/UpgradeTest.java
+++ b/src/test/java/stileferry/coordination/UpgradeTest.java
@@ -36,8 +36,27 @@
     }
 
     private static JobSpec gang(int number, int tasks, double runS) {
-        return new JobSpec("job-" + number, "any", "free", JobSpec.Kind.GANG, JobSpec.Priority.URGENT, tasks, 1, 0, 1, "img",
-                1, null, null, true, false, false, runS, 3, 1, -1);
+        return new JobSpec(
+                "job-" + number,
+                "any",
+                "free",
+                JobSpec.Kind.GANG,
+                JobSpec.Priority.URGENT,
+                tasks,
+                1,
+                0,
+                1,
+                "img",
+                1,
+                null,
+                null,
+                true,
+                false,
+                false,
+                runS,
+                3,
+                1,
+                -1);
     }
 
     /** Ends a controller's process; the next one is of the other version. */
@@ -67,8 +86,12 @@
         w.users.values().stream().filter(u -> u.spec.service()).toList().forEach(w::cancel);
         w.play(120);
         assertEquals(List.of(), w.violations);
-        assertEquals(List.of(), w.users.values().stream().filter(u -> u.accepted && u.end == null)
-                .map(u -> u.spec.id()).toList());
+        assertEquals(
+                List.of(),
+                w.users.values().stream()
+                        .filter(u -> u.accepted && u.end == null)
+                        .map(u -> u.spec.id())
+                        .toList());
     }
 
     /** The roll forward and back, with processes that end before their turn and come back as they were. */
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -121,6 +121,7 @@
 
     /** Direct commands that reached a worker and ask for something. */
     int commandsSent;
+
     int finished;
     int ended;
 
@@ -146,6 +147,7 @@
 
         /** Since when, after all troubles, none of it is anywhere though there is room for it; 0: not so. */
         long leftSince;
+
         final long submittedAt = now;
 
         User(JobSpec spec) {
@@ -189,7 +191,8 @@
         reportMs = Math.round(reportS * 1000);
         leaseMs = 5 * reportMs;
         template = settings("n0", reportS, redMax);
-        cloud = new Cloud("box", MACHINE_CPUS, MACHINE_GB, 5, List.of("za", "zb"), machines, 3000, this::boot, this::remove);
+        cloud = new Cloud(
+                "box", MACHINE_CPUS, MACHINE_GB, 5, List.of("za", "zb"), machines, 3000, this::boot, this::remove);
         for (int i = 0; i < 3; i++) {
             Node node = new Node(settings("n" + i, reportS, redMax));
             nodes.put("n" + i, node);
@@ -202,11 +205,16 @@
         StringBuilder seeds = new StringBuilder();
         for (int i = 0; i < 3; i++) {
             if (!name.equals("n" + i)) {
-                seeds.append(seeds.isEmpty() ? "" : ",").append("{\"host_name\":\"n").append(i)
-                        .append("\",\"zone\":\"za\",\"peer_addr\":\"10.0.0.").append(i).append(":1\"}");
+                seeds.append(seeds.isEmpty() ? "" : ",")
+                        .append("{\"host_name\":\"n")
+                        .append(i)
+                        .append("\",\"zone\":\"za\",\"peer_addr\":\"10.0.0.")
+                        .append(i)
+                        .append(":1\"}");
             }
         }
-        SettingsReader.Result read = SettingsReader.read("""
+        SettingsReader.Result read = SettingsReader.read(
+                """
                 {"host_name":"%s","zone":"za","client_listen":"10.0.0.9:1","peer_bind":"10.0.0.9:2","seeds":[%s],
                 "outside":{"cloud":"%s","state":"%s"},
                 "cluster":{"zones":["za","zb"],"teams":[{"name":"red","cpus":24,"cpus_max":%s},
@@ -215,7 +223,8 @@
                 "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12,
                 "next":{"write_rps":40,"value_kb":2,"txn_ops":4}},
                 "cloud":{"rps":5,"list_lag_s":3},"machine_limits":{"max_sockets":1000},"clock_off_ms":20}}
-                """.formatted(name, seeds, CLOUD, STATE, redMax, reportS, 5 * reportS, CANCEL_S));
+                """
+                        .formatted(name, seeds, CLOUD, STATE, redMax, reportS, 5 * reportS, CANCEL_S));
         if (read.settings() == null) {
             throw new IllegalStateException(read.problems().toString());
         }
@@ -250,7 +259,9 @@
         copiesForNext();
         gangs.mixed().forEach(id -> violations.add("ran_twice: two attempts of " + id));
         for (User user : users.values()) {
-            if (quietSince > 0 && user.accepted && user.end == null
+            if (quietSince > 0
+                    && user.accepted
+                    && user.end == null
                     && now - Math.max(quietSince, user.heardAt) > FORGOTTEN_S * 1000) {
                 violations.add("forgotten: " + user.spec.id() + " is not answered for");
             }
@@ -268,8 +279,13 @@
 
     /** Once the troubles are over no job is left waiting beside a machine that fits, with its team under its limit. */
     private void checkLeft(User user) {
-        if (quietSince == 0 || !user.accepted || user.end != null || user.wantsCancel || running(user) > 0
-                || user.spec.gang() || !roomFor(user.spec)) {
+        if (quietSince == 0
+                || !user.accepted
+                || user.end != null
+                || user.wantsCancel
+                || running(user) > 0
+                || user.spec.gang()
+                || !roomFor(user.spec)) {
             user.leftSince = 0;
         } else if (user.leftSince == 0) {
             user.leftSince = now;
@@ -281,8 +297,10 @@
     private boolean roomFor(JobSpec spec) {
         double max = template.team(spec.team()).cpusMax();
         return (max == 0 || use(spec.team()) + spec.cpus() <= max + 1e-6)
-                && workers.values().stream().anyMatch(w -> (spec.spot() || !w.spot())
-                && (spec.zone() == null || spec.zone().equals(w.zone())) && roomOn(w, spec));
+                && workers.values().stream()
+                        .anyMatch(w -> (spec.spot() || !w.spot())
+                                && (spec.zone() == null || spec.zone().equals(w.zone()))
+                                && roomOn(w, spec));
     }
 
     private boolean roomOn(Worker w, JobSpec spec) {
@@ -303,7 +321,8 @@
         if (copiesForNext && copiesKeptFrom == null) {
             copiesKeptFrom = leader;
         } else if (copiesKeptFrom != null && leader != null && leader != copiesKeptFrom) {
-            keptCopies.forEach(report -> nodes.values().forEach(n -> after(random.nextLong(1500), () -> copy(report, n))));
+            keptCopies.forEach(
+                    report -> nodes.values().forEach(n -> after(random.nextLong(1500), () -> copy(report, n))));
             keptCopies.clear();
             copiesKeptFrom = copiesForNext ? leader : null;
         }
@@ -352,7 +371,12 @@
     }
 
     /** A request with its answer; the caller gives up in time, but what was sent arrives all the same. */
-    private void exchange(String from, String to, long timeoutMs, boolean connects, Consumer<Outside.Reply> serve,
+    private void exchange(
+            String from,
+            String to,
+            long timeoutMs,
+            boolean connects,
+            Consumer<Outside.Reply> serve,
             Outside.Reply reply) {
         boolean[] over = new boolean[1];
         if (!connects) {
@@ -365,17 +389,20 @@
                 reply.done(Outside.NO_ANSWER, null);
             }
         });
-        deliver(from, to, () -> serve.accept((status, body) -> {
-            if (random.nextDouble() < lostAnswers) {
-                return;
-            }
-            deliver(to, from, () -> {
-                if (!over[0]) {
-                    over[0] = true;
-                    reply.done(status, body);
-                }
-            });
-        }));
+        deliver(
+                from,
+                to,
+                () -> serve.accept((status, body) -> {
+                    if (random.nextDouble() < lostAnswers) {
+                        return;
+                    }
+                    deliver(to, from, () -> {
+                        if (!over[0]) {
+                            over[0] = true;
+                            reply.done(status, body);
+                        }
+                    });
+                }));
     }
 
     final class SimOutside implements Outside {
@@ -439,28 +466,34 @@
         public void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply) {
             String me = node.settings.node();
             JsonNode copy = body == null ? null : Wire.decode(Wire.encode(body));
-            Reply mine = (status, answer) -> turn(() -> reply.done(status,
-                    answer == null ? null : Wire.decode(Wire.encode(answer))));
+            Reply mine = (status, answer) ->
+                    turn(() -> reply.done(status, answer == null ? null : Wire.decode(Wire.encode(answer))));
             if (addr.equals(STATE)) {
-                exchange(me, STATE, timeoutMs, true, r -> {
-                    boolean open = path.startsWith("/watch");
-                    boolean commit = path.equals("/commit");
-                    if (!open && (stateDown || refused.contains(me))) {
-                        r.done(503, null);
-                    } else if (commit && random.nextDouble() < lateWrites) {
-                        World.this.after(2000 + random.nextLong(10_000), () -> {
-                            if (!stateDown) {
-                                state.request(method, path, copy, (status, body1) -> { });
+                exchange(
+                        me,
+                        STATE,
+                        timeoutMs,
+                        true,
+                        r -> {
+                            boolean open = path.startsWith("/watch");
+                            boolean commit = path.equals("/commit");
+                            if (!open && (stateDown || refused.contains(me))) {
+                                r.done(503, null);
+                            } else if (commit && random.nextDouble() < lateWrites) {
+                                World.this.after(2000 + random.nextLong(10_000), () -> {
+                                    if (!stateDown) {
+                                        state.request(method, path, copy, (status, body1) -> {});
+                                    }
+                                });
+                            } else if (commit && random.nextDouble() < unansweredWrites) {
+                                state.request(method, path, copy, (status, body1) -> {});
+                            } else if (commit && slowWritesMs > 0) {
+                                World.this.after(random.nextLong(slowWritesMs), () -> carryOut(method, path, copy, r));
+                            } else {
+                                carryOut(method, path, copy, r);
                             }
-                        });
-                    } else if (commit && random.nextDouble() < unansweredWrites) {
-                        state.request(method, path, copy, (status, body1) -> { });
-                    } else if (commit && slowWritesMs > 0) {
-                        World.this.after(random.nextLong(slowWritesMs), () -> carryOut(method, path, copy, r));
-                    } else {
-                        carryOut(method, path, copy, r);
-                    }
-                }, mine);
+                        },
+                        mine);
             } else if (addr.equals(CLOUD)) {
                 exchange(me, CLOUD, timeoutMs, true, r -> cloud.request(method, path, copy, r), mine);
             } else if (hangingCalls != null) {
@@ -469,19 +502,26 @@
             } else {
                 Worker w = workers.get(addr);
                 stored.checkStarts(copy, violations);
-                exchange(me, addr, timeoutMs, w != null && heldUntil(me, addr) <= now, r -> {
-                    if (workers.get(addr) == w) {
-                        commandsSent += copy.path("signals").isEmpty() ? 0 : 1;
-                        int status = w.commands(copy);
-                        r.done(status, status == 400 ? null : w.report());
-                    }
-                }, mine);
+                exchange(
+                        me,
+                        addr,
+                        timeoutMs,
+                        w != null && heldUntil(me, addr) <= now,
+                        r -> {
+                            if (workers.get(addr) == w) {
+                                commandsSent += copy.path("signals").isEmpty() ? 0 : 1;
+                                int status = w.commands(copy);
+                                r.done(status, status == 400 ? null : w.report());
+                            }
+                        },
+                        mine);
             }
         }
 
         private void carryOut(String method, String path, JsonNode body, Reply reply) {
             state.request(method, path, body, (status, answer) -> {
-                if (path.equals("/commit") && status == 400
+                if (path.equals("/commit")
+                        && status == 400
                         && !answer.path("error").asText().equals("no such lease")) {
                     violations.add("malformed: " + body + " " + answer);
                 }
@@ -494,22 +534,30 @@
             String me = node.settings.node();
             Node other = nodes.get(peer.node());
             PeerRecord[] answer = new PeerRecord[1];
-            exchange(me, peer.node(), timeoutMs, !peersRefuse && other.up() && heldUntil(me, peer.node()) <= now, r -> {
-                if (other.up()) {
-                    boolean former = formerForm.contains(me) || formerForm.contains(peer.node());
-                    other.outside.turn(() -> other.coordinator.peer(carried(record, former), a -> {
-                        answer[0] = carried(a, former);
-                        r.done(200, null);
-                    }));
-                }
-            }, (status, body) -> turn(() -> reply.accept(status == 200 ? answer[0] : null)));
+            exchange(
+                    me,
+                    peer.node(),
+                    timeoutMs,
+                    !peersRefuse && other.up() && heldUntil(me, peer.node()) <= now,
+                    r -> {
+                        if (other.up()) {
+                            boolean former = formerForm.contains(me) || formerForm.contains(peer.node());
+                            other.outside.turn(() -> other.coordinator.peer(carried(record, former), a -> {
+                                answer[0] = carried(a, former);
+                                r.done(200, null);
+                            }));
+                        }
+                    },
+                    (status, body) -> turn(() -> reply.accept(status == 200 ? answer[0] : null)));
         }
     }
 
     /** A record as the other side reads it, where one of the two may have the former version's form. */
     private static PeerRecord carried(PeerRecord record, boolean former) {
         PeerRecord read = PeerRecord.read(PeerRecord.write(record));
-        return former && read instanceof PeerRecord.Term t ? new PeerRecord.Term(t.term(), t.leader(), t.leading()) : read;
+        return former && read instanceof PeerRecord.Term t
+                ? new PeerRecord.Term(t.term(), t.leader(), t.leading())
+                : read;
     }
 
     // ---- workers
@@ -517,9 +565,19 @@
     private Worker boot(String machine, String place) {
         String[] parts = place.split("\\|");
         String addr = "w-" + machine + ":1";
-        Worker w = new Worker(machine, addr, "box", parts[0], parts[1].equals("true"), MACHINE_CPUS,
-                MACHINE_GB, leaseMs, now,
-                id -> users.containsKey(id) ? users.get(id).spec : null, watcher(), gangs);
+        Worker w = new Worker(
+                machine,
+                addr,
+                "box",
+                parts[0],
+                parts[1].equals("true"),
+                MACHINE_CPUS,
+                MACHINE_GB,
+                leaseMs,
+                now,
+                id -> users.containsKey(id) ? users.get(id).spec : null,
+                watcher(),
+                gangs);
         workers.put(addr, w);
         reportLoop(w, "n" + random.nextInt(3));
         return w;
@@ -546,34 +604,43 @@
             after(1000 + random.nextLong(3 * leaseMs), () -> copy(report, any));
         }
         Node node = nodes.get(to);
-        exchange(w.addr(), to, 4000, node.up() && !mute.contains(w.addr()) && heldUntil(w.addr(), to) <= now, r -> {
-            if (node.up()) {
-                node.outside.turn(() -> node.coordinator.report(Wire.encode(report), (status, bytes) -> {
-                    JsonNode answer = Wire.decode(bytes);
-                    stored.checkStarts(answer, violations);
-                    r.done(status, answer);
-                }));
-            }
-        }, (status, body) -> {
-            if (workers.get(w.addr()) != w) {
-                return;
-            }
-            if (status == 200) {
-                w.answered(Wire.decode(Wire.encode(body)), session, sentAt);
-                waitForReport(w, to, now + reportMs * 3 / 4 + random.nextLong(reportMs / 2), now + 500);
-            } else if (status == 421 && nodes.containsKey(body.path("harbormaster").asText())) {
-                after(random.nextLong(500), () -> reportLoop(w, body.path("harbormaster").asText()));
-            } else {
-                String next = "n" + (Integer.parseInt(to.substring(1)) + 1) % 3;
-                after(1000, () -> reportLoop(w, next));
-            }
-        });
+        exchange(
+                w.addr(),
+                to,
+                4000,
+                node.up() && !mute.contains(w.addr()) && heldUntil(w.addr(), to) <= now,
+                r -> {
+                    if (node.up()) {
+                        node.outside.turn(() -> node.coordinator.report(Wire.encode(report), (status, bytes) -> {
+                            JsonNode answer = Wire.decode(bytes);
+                            stored.checkStarts(answer, violations);
+                            r.done(status, answer);
+                        }));
+                    }
+                },
+                (status, body) -> {
+                    if (workers.get(w.addr()) != w) {
+                        return;
+                    }
+                    if (status == 200) {
+                        w.answered(Wire.decode(Wire.encode(body)), session, sentAt);
+                        waitForReport(w, to, now + reportMs * 3 / 4 + random.nextLong(reportMs / 2), now + 500);
+                    } else if (status == 421
+                            && nodes.containsKey(body.path("harbormaster").asText())) {
+                        after(
+                                random.nextLong(500),
+                                () -> reportLoop(w, body.path("harbormaster").asText()));
+                    } else {
+                        String next = "n" + (Integer.parseInt(to.substring(1)) + 1) % 3;
+                        after(1000, () -> reportLoop(w, next));
+                    }
+                });
     }
 
     /** A copy of a report; nobody waits for its answer. */
     void copy(JsonNode report, Node to) {
         if (to.up()) {
-            to.outside.turn(() -> to.coordinator.report(Wire.encode(report), (status, body) -> { }));
+            to.outside.turn(() -> to.coordinator.report(Wire.encode(report), (status, body) -> {}));
         }
     }
 
@@ -682,26 +749,32 @@
         byte[] body = ask == PeerRecord.Ask.SUBMIT ? Wire.encode(user.spec.write()) : new byte[0];
         PeerRecord.Answer[] answer = new PeerRecord.Answer[1];
         long asked = now;
-        exchange("user", node.settings.node(), 5000, node.up(), r -> {
-            if (node.up()) {
-                long since = now;
-                node.outside.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
-                    if (a.status() == 503 && (a.retryAfterS() < 1 || now - since > 4500)) {
-                        violations.add("held back: " + ask + " for " + (now - since) + " ms, come back in "
-                                + a.retryAfterS() + " s");
+        exchange(
+                "user",
+                node.settings.node(),
+                5000,
+                node.up(),
+                r -> {
+                    if (node.up()) {
+                        long since = now;
+                        node.outside.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
+                            if (a.status() == 503 && (a.retryAfterS() < 1 || now - since > 4500)) {
+                                violations.add("held back: " + ask + " for " + (now - since) + " ms, come back in "
+                                        + a.retryAfterS() + " s");
+                            }
+                            answer[0] = a;
+                            r.done(a.status(), null);
+                        }));
                     }
-                    answer[0] = a;
-                    r.done(a.status(), null);
-                }));
-            }
-        }, (status, none) -> {
-            boolean final_ = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
-            if (final_) {
-                told(user, ask, asked, status, Wire.decode(answer[0].body()));
-            } else if (now < until) {
-                after(1000, () -> ask(user, ask, until));
-            }
-        });
+                },
+                (status, none) -> {
+                    boolean final_ = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
+                    if (final_) {
+                        told(user, ask, asked, status, Wire.decode(answer[0].body()));
+                    } else if (now < until) {
+                        after(1000, () -> ask(user, ask, until));
+                    }
+                });
     }
 
     void told(User user, PeerRecord.Ask ask, long asked, int status, JsonNode body) {
@@ -765,12 +838,16 @@
 
     /** Tasks of this job that are on machines. */
     long running(User user) {
-        return taskOn.keySet().stream().filter(task -> task.startsWith(user.spec.id() + "/")).count();
+        return taskOn.keySet().stream()
+                .filter(task -> task.startsWith(user.spec.id() + "/"))
+                .count();
     }
 
     /** Tasks that are on one machine now. */
     long runningOn(String machine) {
-        return taskOn.values().stream().filter(on -> on.startsWith(machine + "|")).count();
+        return taskOn.values().stream()
+                .filter(on -> on.startsWith(machine + "|"))
+                .count();
     }
 
     /** Tasks that are on machines now. */
--- a/src/test/java/stileferry/coordination/WorldTest.java
+++ b/src/test/java/stileferry/coordination/WorldTest.java
@@ -17,8 +17,27 @@
     private static final long HIGH_TERM = 1L << 40;
 
     private static JobSpec spec(int number, String team, int tasks, String zone, boolean oneZone) {
-        return new JobSpec("job-" + number, "any", team, JobSpec.Kind.SERVICE, JobSpec.Priority.CRITICAL, tasks, 4, 0, 1,
-                "img", 1, null, zone, oneZone, false, true, 0, 0, 0, -1);
+        return new JobSpec(
+                "job-" + number,
+                "any",
+                team,
+                JobSpec.Kind.SERVICE,
+                JobSpec.Priority.CRITICAL,
+                tasks,
+                4,
+                0,
+                1,
+                "img",
+                1,
+                null,
+                zone,
+                oneZone,
+                false,
+                true,
+                0,
+                0,
+                0,
+                -1);
     }
 
     /** A world with machines up, and a job that nobody but the test will start. */
@@ -33,20 +52,26 @@
     }
 
     private static Worker in(World w, String zone, int number) {
-        return w.workers.values().stream().filter(x -> x.zone().equals(zone)).skip(number).findFirst().orElseThrow();
+        return w.workers.values().stream()
+                .filter(x -> x.zone().equals(zone))
+                .skip(number)
+                .findFirst()
+                .orElseThrow();
     }
 
     private static void run(World w, Worker worker, String task) {
-        worker.commands(Messages.commands(HIGH_TERM, worker.session(), List.of(
-                new Signal(Signal.Kind.KILL, "job-1/0", 0, 0), new Signal(Signal.Kind.RUN, task, 1, 0))));
+        worker.commands(Messages.commands(
+                HIGH_TERM,
+                worker.session(),
+                List.of(new Signal(Signal.Kind.KILL, "job-1/0", 0, 0), new Signal(Signal.Kind.RUN, task, 1, 0))));
         w.play(0.95); // it has its image, and leases stand
     }
 
     private static void free(World w) {
         for (Worker worker : w.workers.values()) {
             for (var t : stileferry.protocol.Report.read(worker.report()).tasks()) {
-                worker.commands(Messages.commands(HIGH_TERM, worker.session(), List.of(
-                        new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0))));
+                worker.commands(Messages.commands(
+                        HIGH_TERM, worker.session(), List.of(new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0))));
             }
         }
     }
@@ -95,11 +120,32 @@
     @Test
     void aStartOfAGangWhoseClaimsAreNotStored() {
         World w = with(spec(9, "free", 1, null, false));
-        JobSpec gang = new JobSpec("job-10", "any", "free", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, 2, 1, 0, 1, "img", 1,
-                null, null, false, false, false, 5, 0, 0, -1);
+        JobSpec gang = new JobSpec(
+                "job-10",
+                "any",
+                "free",
+                JobSpec.Kind.GANG,
+                JobSpec.Priority.NORMAL,
+                2,
+                1,
+                0,
+                1,
+                "img",
+                1,
+                null,
+                null,
+                false,
+                false,
+                false,
+                5,
+                0,
+                0,
+                -1);
         List<String> noticed = new ArrayList<>();
-        new StoredClaims(w.state, id -> gang).checkStarts(Messages.commands(HIGH_TERM, 1, List.of(
-                new Signal(Signal.Kind.RUN, "job-10/0", 1, 0))), noticed);
+        new StoredClaims(w.state, id -> gang)
+                .checkStarts(
+                        Messages.commands(HIGH_TERM, 1, List.of(new Signal(Signal.Kind.RUN, "job-10/0", 1, 0))),
+                        noticed);
         assertEquals(1, noticed.size());
         assertTrue(noticed.get(0).startsWith("started_early"), noticed::toString);
     }
--- a/src/test/java/stileferry/protocol/MessagesTest.java
+++ b/src/test/java/stileferry/protocol/MessagesTest.java
@@ -17,8 +17,28 @@
 
 class MessagesTest {
     private static ObjectNode good() {
-        return new JobSpec("job-000412", "train", "vision", JobSpec.Kind.ARRAY, JobSpec.Priority.URGENT, 16, 8, 1, 64,
-                "img-07", 6.2, List.of("g8"), null, true, false, true, 240, 30, 4, 900).write();
+        return new JobSpec(
+                        "job-000412",
+                        "train",
+                        "vision",
+                        JobSpec.Kind.ARRAY,
+                        JobSpec.Priority.URGENT,
+                        16,
+                        8,
+                        1,
+                        64,
+                        "img-07",
+                        6.2,
+                        List.of("g8"),
+                        null,
+                        true,
+                        false,
+                        true,
+                        240,
+                        30,
+                        4,
+                        900)
+                .write();
     }
 
     @Test
@@ -32,8 +52,26 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"name_id", "berth", "crew", "craft", "precedence", "passengers", "cores", "gpus", "ram_gb",
-        "cargo", "pull_gb", "same_place", "apart", "tender", "crossing_s", "waypoint_s", "stow_s"})
+    @ValueSource(
+            strings = {
+                "name_id",
+                "berth",
+                "crew",
+                "craft",
+                "precedence",
+                "passengers",
+                "cores",
+                "gpus",
+                "ram_gb",
+                "cargo",
+                "pull_gb",
+                "same_place",
+                "apart",
+                "tender",
+                "crossing_s",
+                "waypoint_s",
+                "stow_s"
+            })
     void aMissingOrMistypedFieldIsMalformed(String field) {
         ObjectNode missing = good();
         missing.remove(field);
@@ -67,7 +105,8 @@
     @Test
     void noiseIsRefusedQuietly() {
         SplittableRandom random = new SplittableRandom(4);
-        byte[] report = Wire.encode(Wire.map().put("vessel", "v").put("voyage", 1).put("log_seq", 1).put("helm", 1));
+        byte[] report = Wire.encode(
+                Wire.map().put("vessel", "v").put("voyage", 1).put("log_seq", 1).put("helm", 1));
         byte[] record = PeerRecord.write(new PeerRecord.Forward(PeerRecord.Ask.SUBMIT, "job-1", report));
         int refused = 0;
         for (int i = 0; i < 5000; i++) {
@@ -88,11 +127,11 @@
         assertArrayEquals(f.body(), back.body());
         PeerRecord.Term t = new PeerRecord.Term(9, "n1", true);
         assertEquals(t, PeerRecord.read(PeerRecord.write(t)));
-        PeerRecord.Term told = new PeerRecord.Term(9, "n1", true,
-                new PeerRecord.Knowledge(1L << 60, 5, true, false, List.of("job-1", "job-2")));
+        PeerRecord.Term told = new PeerRecord.Term(
+                9, "n1", true, new PeerRecord.Knowledge(1L << 60, 5, true, false, List.of("job-1", "job-2")));
         assertEquals(told, PeerRecord.read(PeerRecord.write(told)));
-        PeerRecord.Answer a = (PeerRecord.Answer) PeerRecord.read(PeerRecord.write(
-                new PeerRecord.Answer(503, 30, new byte[0])));
+        PeerRecord.Answer a =
+                (PeerRecord.Answer) PeerRecord.read(PeerRecord.write(new PeerRecord.Answer(503, 30, new byte[0])));
         assertEquals(503, a.status());
         assertEquals(30, a.retryAfterS());
     }
@@ -105,19 +144,22 @@
     void termsAreReadAcrossVersions() {
         byte[] old = HexFormat.of().parseHex("03" + "0000000000000009" + "0002" + "6e31" + "01");
         assertEquals(new PeerRecord.Term(9, "n1", true), PeerRecord.read(old));
-        byte[] now = PeerRecord.write(new PeerRecord.Term(9, "n1", true,
-                new PeerRecord.Knowledge(1, 2, true, true, List.of("job-1"))));
+        byte[] now = PeerRecord.write(
+                new PeerRecord.Term(9, "n1", true, new PeerRecord.Knowledge(1, 2, true, true, List.of("job-1"))));
         assertArrayEquals(old, Arrays.copyOf(now, old.length), "what the older version reads comes first, unchanged");
         assertArrayEquals(old, PeerRecord.write(new PeerRecord.Term(9, "n1", true)));
     }
 
     private static byte[] report(long seq, String state, boolean tasksLast) {
-        ObjectNode n = Wire.map().put("vessel", "m").put("voyage", 1)
-                .put("helm", 3);
+        ObjectNode n = Wire.map().put("vessel", "m").put("voyage", 1).put("helm", 3);
         if (tasksLast) {
             n.put("log_seq", seq);
         }
-        n.putArray("passengers").addObject().put("passenger", "job-1/0").put("launch", 7).put("tide", state);
+        n.putArray("passengers")
+                .addObject()
+                .put("passenger", "job-1/0")
+                .put("launch", 7)
+                .put("tide", state);
         return Wire.encode(tasksLast ? n : n.put("log_seq", seq));
     }
 
--- a/src/test/java/stileferry/protocol/SettingsReaderTest.java
+++ b/src/test/java/stileferry/protocol/SettingsReaderTest.java
@@ -11,7 +11,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class SettingsReaderTest {
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
             {"host_name":"n0","zone":"za","client_listen":"10.0.0.1:80","peer_bind":"10.0.0.1:81","new_field":[1],
             "seeds":[{"host_name":"n1","zone":"zb","peer_addr":"10.0.0.2:81"}],
             "outside":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
@@ -32,33 +33,38 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"host_name\":\"n0\"|\"host_name\":7|host_name",
-        "10.0.0.1:80\"|10.0.0.1\"|client_listen",
-        "10.0.0.1:81\"|10.0.0.1:99999\"|peer_bind",
-        "\"host_name\":\"n1\"|\"host_name\":\"n0\"|seeds[0].host_name",
-        "\"lease_s\":10|\"lease_s\":0|cluster.workers.lease_s",
-        "\"report_s\":2|\"report_s\":\"soon\"|cluster.workers.report_s",
-        "\"rps\":150|\"rps\":-1|cluster.state.rps",
-        "\"txn_ops\":12|\"txn_ops\":1|cluster.state.txn_ops",
-        "\"txn_ops\":12|\"txn_ops\":12,\"next\":{\"txn_ops\":2}|cluster.state.next.txn_ops",
-        "\"txn_ops\":12|\"txn_ops\":12,\"next\":{\"write_rps\":0}|cluster.state.next.write_rps",
-        "\"cancel_s\":20|\"cancel_s\":20,\"gang_wait_s\":-1|cluster.workers.gang_wait_s",
-        "\"txn_ops\":12}|\"txn_ops\":12},\"clock_off_ms\":-5|cluster.clock_off_ms",
-        "\"zones\":[\"za\",\"zb\"]|\"zones\":[3]|cluster.zones",
-        "\"cpus_max\":2|\"cpus_max\":-2|cluster.teams[0].cpus_max",
-        "\"state\":\"10.2.0.1:2379\"|\"state\":null|outside.state"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"host_name\":\"n0\"|\"host_name\":7|host_name",
+                "10.0.0.1:80\"|10.0.0.1\"|client_listen",
+                "10.0.0.1:81\"|10.0.0.1:99999\"|peer_bind",
+                "\"host_name\":\"n1\"|\"host_name\":\"n0\"|seeds[0].host_name",
+                "\"lease_s\":10|\"lease_s\":0|cluster.workers.lease_s",
+                "\"report_s\":2|\"report_s\":\"soon\"|cluster.workers.report_s",
+                "\"rps\":150|\"rps\":-1|cluster.state.rps",
+                "\"txn_ops\":12|\"txn_ops\":1|cluster.state.txn_ops",
+                "\"txn_ops\":12|\"txn_ops\":12,\"next\":{\"txn_ops\":2}|cluster.state.next.txn_ops",
+                "\"txn_ops\":12|\"txn_ops\":12,\"next\":{\"write_rps\":0}|cluster.state.next.write_rps",
+                "\"cancel_s\":20|\"cancel_s\":20,\"gang_wait_s\":-1|cluster.workers.gang_wait_s",
+                "\"txn_ops\":12}|\"txn_ops\":12},\"clock_off_ms\":-5|cluster.clock_off_ms",
+                "\"zones\":[\"za\",\"zb\"]|\"zones\":[3]|cluster.zones",
+                "\"cpus_max\":2|\"cpus_max\":-2|cluster.teams[0].cpus_max",
+                "\"state\":\"10.2.0.1:2379\"|\"state\":null|outside.state"
+            })
     void theFirstProblemNamesItsField(String from, String to, String field) {
         SettingsReader.Result read = SettingsReader.read(GOOD.replace(from, to));
         assertNull(read.settings());
-        assertTrue(read.problems().get(0).startsWith(field + ":"), read.problems().toString());
+        assertTrue(
+                read.problems().get(0).startsWith(field + ":"), read.problems().toString());
     }
 
     /** Limits come without notice, so the lower of both is kept from the start. */
     @Test
     void theLowerOfTodaysAndTheNextLimitsCounts() {
-        Settings s = SettingsReader.read(GOOD.replace("\"txn_ops\":12",
-                "\"txn_ops\":12,\"next\":{\"write_rps\":21,\"value_kb\":2,\"txn_ops\":20}")).settings();
+        Settings s = SettingsReader.read(GOOD.replace(
+                        "\"txn_ops\":12", "\"txn_ops\":12,\"next\":{\"write_rps\":21,\"value_kb\":2,\"txn_ops\":20}"))
+                .settings();
         assertEquals(new Settings.State(150, 21, 2, 12), s.state());
     }
 
@@ -74,9 +80,12 @@
     void aSmallShareOfACoreMakesTimesLonger() {
         Settings ample = SettingsReader.read(GOOD).settings();
         assertEquals(1, ample.slowness());
-        Settings small = SettingsReader.read(GOOD.replace("\"max_sockets\"", "\"cores\":0.1,\"max_sockets\"")).settings();
+        Settings small = SettingsReader.read(GOOD.replace("\"max_sockets\"", "\"cores\":0.1,\"max_sockets\""))
+                .settings();
         assertEquals(3, small.slowness(), 1e-9);
-        assertEquals(List.of("cluster.machine_limits.cores: must be above 0"),
-                SettingsReader.read(GOOD.replace("\"max_sockets\"", "\"cores\":0,\"max_sockets\"")).problems());
+        assertEquals(
+                List.of("cluster.machine_limits.cores: must be above 0"),
+                SettingsReader.read(GOOD.replace("\"max_sockets\"", "\"cores\":0,\"max_sockets\""))
+                        .problems());
     }
 }
