--- a/src/main/java/stileferry/coordination/Cancellations.java
+++ b/src/main/java/stileferry/coordination/Cancellations.java
@@ -18,10 +18,10 @@
  * without being sure to lead must know every cancellation that another one may have confirmed, or tasks of cancelled
  * jobs would outlive {@code cancel_s} on the leases that it renews.
  *
- * <p>Of n processes, a leader confirms a cancellation to a user only when it and n/2 others know it. A process counts as
- * informed once a leader that was sure told it every cancellation since the process began. An informed process does not
- * know a cancellation only if it was not among those told; so n - n/2 informed processes together know all of them
- * (docs/design.md, "Cancellations"). Only processes that say that they keep this count.
+ * <p>Of n processes, a leader confirms a cancellation to a user only when it and n/2 others know it. A process counts
+ * as informed once a leader that was sure told it every cancellation since the process began. An informed process
+ * does not know a cancellation only if it was not among those told; so n - n/2 informed processes together know all
+ * of them (docs/design.md, "Cancellations"). Only processes that say that they keep this count.
  */
 final class Cancellations {
     /** Jobs are remembered for so many times as long as their tasks may last after the last that was heard of them. */
--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -15,11 +15,11 @@
 /**
  * Keeps workers' leases alive while nobody can lead, as when the state service is down and the leader has crashed.
  *
- * <p>A report may be answered with the worker's own token, and without commands but stops of cancelled jobs' tasks, once
- * every other controller has said, after the report arrived, that it does not lead, and enough of them are informed to
- * know every cancellation together ({@link Cancellations}). A leader of that token is then gone for good, since nobody resumes a
- * term and later terms are higher; so nobody counts on that lease lapsing. A later leader counts a lapse only from when
- * the worker accepted its term, or every controller acknowledged it.
+ * <p>A report may be answered with the worker's own token, and without commands but stops of cancelled jobs' tasks,
+ * once every other controller has said, after the report arrived, that it does not lead, and enough of them are
+ * informed to know every cancellation together ({@link Cancellations}). A leader of that token is then gone for good,
+ * since nobody resumes a term and later terms are higher; so nobody counts on that lease lapsing. A later leader
+ * counts a lapse only from when the worker accepted its term, or every controller acknowledged it.
  */
 final class Caretaker {
     private static final Logger LOG = LoggerFactory.getLogger("caretaker");
@@ -89,7 +89,7 @@
             active = entitled;
             LOG.info(
                     entitled
-                            ? "nobody leads and no cancellation is unknown, all controllers agree: keeping workers' leases alive"
+                            ? "no controller leads and all cancellations are known: keeping workers' leases alive"
                             : "no longer keeping workers' leases alive");
         }
         for (Waiting w : batch) {
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -666,7 +666,9 @@
         return silent;
     }
 
-    /** Whether a command that is sent now can be expected to arrive: the machine reports in time, and heard us before. */
+    /**
+     * Whether a command that is sent now can be expected to arrive: the machine reports in time, and heard us before.
+     */
     boolean hears(Machine m) {
         return m.heard
                 && !m.deleting
--- a/src/main/java/stileferry/coordination/GangAttempt.java
+++ b/src/main/java/stileferry/coordination/GangAttempt.java
@@ -1,11 +1,11 @@
 package stileferry.coordination;
 
 /**
- * One start of a gang, under the attempt number that all of its tasks carry. No task may hear of it before the claims of
- * all tasks are durable, or another leader might find and start only a part of the gang.
+ * One start of a gang, under the attempt number that all of its tasks carry. No task may hear of it before the claims
+ * of all tasks are durable, or another leader might find and start only a part of the gang.
  *
- * <p>Each attempt counts its own claims: those of an attempt that was given up become durable later, and counted for the
- * next attempt they would let it start too early.
+ * <p>Each attempt counts its own claims: those of an attempt that was given up become durable later, and counted for
+ * the next attempt they would let it start too early.
  */
 final class GangAttempt {
     private int claimsNotDurable;
--- a/src/main/java/stileferry/coordination/Lateness.java
+++ b/src/main/java/stileferry/coordination/Lateness.java
@@ -3,8 +3,8 @@
 import stileferry.protocol.Outside;
 
 /**
- * How far a controller is behind with its work, as its own timers tell: a process that is given less processor time than
- * it asks for carries them out late. What can be done in a cheaper way, if somewhat later, then is.
+ * How far a controller is behind with its work, as its own timers tell: a process that is given less processor time
+ * than it asks for carries them out late. What can be done in a cheaper way, if somewhat later, then is.
  */
 final class Lateness {
     /** Beats in a report interval. */
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -417,8 +417,8 @@
     }
 
     /**
-     * Whether all tasks of a gang can be expected to hear a stop in time. If one does not, the others can't save; told to,
-     * they would only wait for it, and what they did since their last checkpoint is lost all the same.
+     * Whether all tasks of a gang can be expected to hear a stop in time. If one does not, the others can't save;
+     * told to, they would only wait for it, and what they did since their last checkpoint is lost all the same.
      */
     private boolean allHear(Job gang) {
         for (Claim claim : gang.claims.values()) {
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -88,7 +88,8 @@
 
     /**
      * How long the leader key's lease is. On a small share of a core 1.5 s are 0.15 s of work: a leader that was merely
-     * busy lost its lease, and the next one had so much to read and to ask that it lost it too: on one day 31 terms began in five minutes.
+     * busy lost its lease, and the next one had so much to read and to ask that it lost it too: on one day 31 terms
+     * began in five minutes.
      */
     static long lifeMs(Settings settings) {
         double ample = Math.max(1000, Math.min(1500, settings.workers().reportS() * LIFE_IN_REPORTS * 1000));
@@ -97,8 +98,8 @@
     }
 
     /**
-     * For how long after a moment leases may be renewed whatever was confirmed later: a lease renewed then ends, with all
-     * clocks against us, within a cancellation's time after that moment.
+     * For how long after a moment leases may be renewed whatever was confirmed later: a lease renewed then ends, with
+     * all clocks against us, within a cancellation's time after that moment.
      */
     private static long renewMs(Settings settings) {
         double cancelMs = 1000 * settings.workers().cancelS();
@@ -125,10 +126,10 @@
     }
 
     /**
-     * Whether workers' leases may be renewed by this leader. While it is sure, nobody else confirms cancellations. Later
-     * another leader may, and a task must not outlive that on a lease which this one renews. So it goes on only while
-     * enough other controllers say that there is no other leader, and for as long as what it renews will still lapse
-     * in time.
+     * Whether workers' leases may be renewed by this leader. While it is sure, nobody else confirms cancellations.
+     * Later another leader may, and a task must not outlive that on a lease which this one renews. So it goes on only
+     * while enough other controllers say that there is no other leader, and for as long as what it renews will still
+     * lapse in time.
      */
     boolean mayRenew() {
         return sure() || leading && outside.now() < Math.max(sureUntil, cancellations.nothingMissedUntil()) + renewMs;
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -229,7 +229,8 @@
 
     /**
      * Whether a critical task, or an urgent gang, should rather have room made where its image is than fetch it here:
-     * stopping the work of a moment costs less than its users' wait. Only for half the time in which its tasks shall start.
+     * stopping the work of a moment costs less than its users' wait. Only for half the time in which its tasks shall
+     * start.
      */
     private boolean betterMakeRoom(Job job, List<Machine> chosen, long now) {
         boolean mayAskForRoom = job.spec.priority() == JobSpec.Priority.CRITICAL
@@ -245,7 +246,10 @@
         return now - job.keptBackAt <= patience && roomCanBeMadeAtImage(job, now);
     }
 
-    /** Whether one task, or a whole gang, would fit on machines that hold its image beside work that may not be stopped. */
+    /**
+     * Whether one task, or a whole gang, would fit on machines that hold its image beside work that may not be
+     * stopped.
+     */
     private boolean roomCanBeMadeAtImage(Job job, long now) {
         int wanted = job.spec.gang() ? job.spec.tasks() : 1;
         Map<String, Integer> fitting = new HashMap<>();
@@ -266,9 +270,9 @@
     }
 
     /**
-     * Machines for every task of a gang, or none. Where all must be in one zone, that of the best machine comes first. It
-     * may lack room for the rest, so the other zones are tried too; and where the gang's start can't wait for a fetch,
-     * they are tried for one with fewer images to fetch.
+     * Machines for every task of a gang, or none. Where all must be in one zone, that of the best machine comes
+     * first. It may lack room for the rest, so the other zones are tried too; and where the gang's start can't wait
+     * for a fetch, they are tried for one with fewer images to fetch.
      */
     private List<Machine> chooseAll(Job job, Predicate<Machine> usable, long now) {
         List<Machine> best = tryAll(job, usable, now);
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -422,7 +422,9 @@
         return taken;
     }
 
-    /** The one zone for a gang: where most of it has room soon, else where a machine is to be had at the lowest price. */
+    /**
+     * The one zone for a gang: where most of it has room soon, else where a machine is to be had at the lowest price.
+     */
     private String zoneFor(JobSpec spec, int tasks, List<Bin> coming, Map<String, Integer> perZone) {
         Map<String, Integer> room = new HashMap<>();
         for (Bin bin : coming) {
--- a/src/main/java/stileferry/coordination/Reservations.java
+++ b/src/main/java/stileferry/coordination/Reservations.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * Room on machines that is being made for waiting jobs by stopping other work. Until those jobs start, less urgent work may
- * not take it: it would be stopped again at once, and each such start costs writes in the state service.
+ * Room on machines that is being made for waiting jobs by stopping other work. Until those jobs start, less urgent
+ * work may not take it: it would be stopped again at once, and each such start costs writes in the state service.
  */
 final class Reservations {
     /** Amounts on one machine that are reserved for one job. */
--- a/src/main/java/stileferry/protocol/JobSpec.java
+++ b/src/main/java/stileferry/protocol/JobSpec.java
@@ -140,7 +140,9 @@
                 && (zone == null || type.zones().contains(zone));
     }
 
-    /** False for a gang whose tasks may never all run at the same time: at most half of them may be in its only zone. */
+    /**
+     * False for a gang whose tasks may never all run at the same time: at most half of them may be in its only zone.
+     */
     public boolean canRunTogether(List<MachineType> all) {
         if (!gang() || !spread || tasks == 1) {
             return true;
--- a/src/main/java/stileferry/standin/Worker.java
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -55,6 +55,7 @@
         void ended(String task, Worker worker);
     }
 
+    /** One start of a task on this machine. */
     static final class Task {
         final Worker worker;
         final String name;
--- a/src/main/java/stileferry/storage/EventLog.java
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -187,10 +187,11 @@
     }
 
     /**
-     * A record written under a larger value limit may hold more than fits into one of today's. As much as fits is put into
-     * a record beside the ring before the large one is given up. It holds no ends, so its order among the others does not
-     * matter; it is copied into the ring and deleted like records of an older form, also by versions that know only those.
-     * Its put compares that the large record still stands, so that it can't be carried out once more after its deletion.
+     * A record written under a larger value limit may hold more than fits into one of today's. As much as fits is put
+     * into a record beside the ring before the large one is given up. It holds no ends, so its order among the others
+     * does not matter; it is copied into the ring and deleted like records of an older form, also by versions that
+     * know only those. Its put compares that the large record still stands, so that it can't be carried out once more
+     * after its deletion.
      */
     private Batch setAside(Slot large) {
         Slot aside = new Slot(asidePrefix + setAside++, 0, lastNumber);
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -84,8 +84,9 @@
         }
 
         /**
-         * Names a key that must stand as it does for this one to be written for the first time. Found with transactions that
-         * were carried out late once more: a key that has been put and deleted since looks as if it had never been.
+         * Names a key that must stand as it does for this one to be written for the first time. Found with
+         * transactions that were carried out late once more: a key that has been put and deleted since looks as if it
+         * had never been.
          */
         public Entry guardedBy(Entry other) {
             guard = other;
--- a/src/test/java/stileferry/cli/DeployTest.java
+++ b/src/test/java/stileferry/cli/DeployTest.java
@@ -10,11 +10,14 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
+/** The deploy file names what the build makes, and its memory bounds add up. */
 class DeployTest {
     /** The smallest controllers have 194 MB; of these the runtime itself takes some 20, and its threads' stacks 8. */
     private static final int MOST_MB = 194 - 20 - 8;
 
-    /** A process over its machine's memory is killed: areas that may grow beyond it all the same would do so one day. */
+    /**
+     * A process over its machine's memory is killed: areas that may grow beyond it all the same would do so one day.
+     */
     @Test
     void theBoundsOfAllMemoryAreasAddUpBelowTheSmallestMachine() throws IOException {
         Matcher bounds = Pattern.compile("-(?:Xmx|XX:(?:MaxMetaspace|ReservedCodeCache|MaxDirectMemory)Size=)(\\d+)m")
--- a/src/test/java/stileferry/coordination/GangTest.java
+++ b/src/test/java/stileferry/coordination/GangTest.java
@@ -91,8 +91,8 @@
     }
 
     /**
-     * A task is gone before the others have noticed. They can't save without it, and told to do so they would hold their
-     * machines until they give up, while the whole gang waits to start again.
+     * A task is gone before the others have noticed. They can't save without it, and told to do so they would hold
+     * their machines until they give up, while the whole gang waits to start again.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
@@ -214,7 +214,9 @@
         assertEquals("done", second.end);
     }
 
-    /** A version before started a gang's tasks one by one, so that a leader may find claims of more than one attempt. */
+    /**
+     * A version before started a gang's tasks one by one, so that a leader may find claims of more than one attempt.
+     */
     @Test
     void claimsOfDifferentAttemptsAreStoppedAndTheGangStartsWhole() {
         World w = begun(40, gang(1, JobSpec.Priority.URGENT, 6, true, 30));
--- a/src/test/java/stileferry/coordination/MeetingsTest.java
+++ b/src/test/java/stileferry/coordination/MeetingsTest.java
@@ -61,10 +61,10 @@
     }
 
     /**
-     * The leader alone is refused by the state service, or sees neither it nor the other controllers; another one confirms
-     * cancellations; then the state service is down for longer than cancel_s while workers report to whom they did. Found
-     * by the operators: the old leader went on renewing leases and knew nothing of the cancellations, and the new one,
-     * not sure to lead any more, sent no stops.
+     * The leader alone is refused by the state service, or sees neither it nor the other controllers; another one
+     * confirms cancellations; then the state service is down for longer than cancel_s while workers report to whom
+     * they did. Found by the operators: the old leader went on renewing leases and knew nothing of the cancellations,
+     * and the new one, not sure to lead any more, sent no stops.
      */
     @ParameterizedTest
     @CsvSource({
@@ -131,9 +131,9 @@
     }
 
     /**
-     * Transactions without an answer are carried out late, after newer ones, or at once with only the answer lost, while
-     * one-task jobs come four a second. Found by this test: a late acceptance was carried out once more after its job had
-     * ended, and the next leader took the job for one that waits.
+     * Transactions without an answer are carried out late, after newer ones, or at once with only the answer lost,
+     * while one-task jobs come four a second. Found by this test: a late acceptance was carried out once more after
+     * its job had ended, and the next leader took the job for one that waits.
      */
     @ParameterizedTest
     @CsvSource({"201,0.4,0", "202,0.4,0", "203,0.2,0.2", "204,0,0.4", "205,0.5,0"})
@@ -402,7 +402,10 @@
         }
     }
 
-    /** The meetings of the operators' page, by name, each with two seeds; in the end all that nobody cancelled is served. */
+    /**
+     * The meetings of the operators' page, by name, each with two seeds; in the end all that nobody cancelled is
+     * served.
+     */
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/src/test/java/stileferry/coordination/OptionsTest.java
+++ b/src/test/java/stileferry/coordination/OptionsTest.java
@@ -11,6 +11,7 @@
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Wire;
 
+/** The operators' settings: their bounds, and how they are stored. */
 class OptionsTest {
     @Test
     void aChangeIsTakenWholeOrNotAtAll() throws Options.Invalid {
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -12,6 +12,7 @@
 import stileferry.protocol.MachineType;
 import stileferry.protocol.Settings;
 
+/** Whose work is stopped to make room for whom, and where. */
 class PreemptionTest {
     private static final long NOW = 100_000;
 
@@ -120,7 +121,10 @@
         assertEquals(0, stops.get(0).graceS(), "critical work does not wait for others to save");
     }
 
-    /** Found on the bench: most services that started late fetched their image beside idle work on machines that had it. */
+    /**
+     * Found on the bench: most services that started late fetched their image beside idle work on machines that had
+     * it.
+     */
     @Test
     void aCriticalTaskTakesRoomWhereItsImageIs() {
         machine.holds("img", 1);
@@ -170,7 +174,9 @@
         return job;
     }
 
-    /** Found on the bench: half of the gangs waited for an image longer than their time to start, with room elsewhere. */
+    /**
+     * Found on the bench: half of the gangs waited for an image longer than their time to start, with room elsewhere.
+     */
     @Test
     void aGangGoesToTheZoneWhereLeastOfItHasToFetch() {
         Machine first = machine("zb-1", "zb");
@@ -214,8 +220,8 @@
     }
 
     /**
-     * Found on the bench: while room was made for an urgent gang, a less urgent one took what was free of it already, and was
-     * stopped again at once, fifty times a second.
+     * Found on the bench: while room was made for an urgent gang, a less urgent one took what was free of it already,
+     * and was stopped again at once, fifty times a second.
      */
     @Test
     void roomThatIsBeingMadeIsKeptFromLessUrgentWork() {
--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -9,6 +9,7 @@
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 
+/** Which machines are returned to the cloud, and when. */
 class ProvisioningTest {
     /**
      * Found in a recorded day: a new leader returned young machines, which the list did not show yet, with all their
--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -209,8 +209,8 @@
     }
 
     /**
-     * Found on a day with a zone cut off: hundreds of services that had lost their machines went to the fullest machines
-     * with room, which then fetched several images at a share of their rate each.
+     * Found on a day with a zone cut off: hundreds of services that had lost their machines went to the fullest
+     * machines with room, which then fetched several images at a share of their rate each.
      */
     @Test
     void anImageIsFetchedWhereNoOtherIs() {
@@ -279,7 +279,10 @@
         assertTrue(asked[0] > 10 * most[0], "only " + asked[0] + " were asked");
     }
 
-    /** A zone of a fleet of up to 2,100 machines is cut off, the leader crashes meanwhile, and the zone comes back at once. */
+    /**
+     * A zone of a fleet of up to 2,100 machines is cut off, the leader crashes meanwhile, and the zone comes back at
+     * once.
+     */
     @Test
     void aLargeZoneThatIsCutOffStaysWithinTheRates() {
         World w = new World(7, 525, 6, 0);
--- a/src/test/java/stileferry/coordination/SilenceTest.java
+++ b/src/test/java/stileferry/coordination/SilenceTest.java
@@ -16,7 +16,10 @@
 
 /** Machines and controllers that are silent, hear nothing or are cut off. */
 class SilenceTest {
-    /** Reports arrive, but answers and commands do not: no more work there, its services elsewhere, then it is returned. */
+    /**
+     * Reports arrive, but answers and commands do not: no more work there, its services elsewhere, then it is
+     * returned.
+     */
     @Test
     void aMachineThatHearsNothingGetsNoWork() {
         World w = new World(31);
@@ -114,7 +117,10 @@
         assertEquals(List.of(), w.violations);
     }
 
-    /** Found on the bench: services of ordinary machines that died or hung waited for a whole lease, though spot work did not. */
+    /**
+     * Found on the bench: services of ordinary machines that died or hung waited for a whole lease, though spot work
+     * did not.
+     */
     @Test
     void anOrdinaryMachineThatDiesIsGivenUpBeforeItsLease() {
         World w = new World(42, 5, 6, 40);
--- a/src/test/java/stileferry/coordination/TaskEventsTest.java
+++ b/src/test/java/stileferry/coordination/TaskEventsTest.java
@@ -164,8 +164,9 @@
     }
 
     /**
-     * Leaders of the version before go by the larger limit, and later ones by the lower limit that is announced, in turns.
-     * No leader of the lower limit writes a larger value, whatever it finds; and at every write the store tells all.
+     * Leaders of the version before go by the larger limit, and later ones by the lower limit that is announced, in
+     * turns. No leader of the lower limit writes a larger value, whatever it finds; and at every write the store
+     * tells all.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
--- a/src/test/java/stileferry/coordination/UpgradeTest.java
+++ b/src/test/java/stileferry/coordination/UpgradeTest.java
@@ -15,8 +15,8 @@
 import stileferry.protocol.JobSpec;
 
 /**
- * Controllers are replaced one by one, and back again, while they serve. The older ones are this version's code with the
- * records of the first one, which is where the forms differ; the stored forms are the same.
+ * Controllers are replaced one by one, and back again, while they serve. The older ones are this version's code with
+ * the records of the first one, which is where the forms differ; the stored forms are the same.
  */
 class UpgradeTest {
     private static final int LOWER_OPERATIONS = 4;
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -64,8 +64,8 @@
     final Set<String> alone = new TreeSet<>();
 
     /**
-     * Nodes whose records to other controllers have the form of the first version, f7fe539, which neither writes nor reads
-     * what they know of cancellations.
+     * Nodes whose records to other controllers have the form of the first version, f7fe539, which neither writes nor
+     * reads what they know of cancellations.
      */
     final Set<String> formerForm = new TreeSet<>();
 
@@ -405,6 +405,7 @@
                 }));
     }
 
+    /** What one controller sees of the simulated world. */
     final class SimOutside implements Outside {
         final Node node;
         final long shift = random.nextLong(1_000_000);
@@ -768,8 +769,8 @@
                     }
                 },
                 (status, none) -> {
-                    boolean final_ = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
-                    if (final_) {
+                    boolean isFinal = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
+                    if (isFinal) {
                         told(user, ask, asked, status, Wire.decode(answer[0].body()));
                     } else if (now < until) {
                         after(1000, () -> ask(user, ask, until));
--- a/src/test/java/stileferry/protocol/MessagesTest.java
+++ b/src/test/java/stileferry/protocol/MessagesTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** Messages and records are read as they were written, and nothing malformed gets through. */
 class MessagesTest {
     private static ObjectNode good() {
         return new JobSpec(
--- a/src/test/java/stileferry/protocol/SettingsReaderTest.java
+++ b/src/test/java/stileferry/protocol/SettingsReaderTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Settings files are checked in full, and each problem names its field. */
 class SettingsReaderTest {
     private static final String GOOD =
             """
--- a/src/test/java/stileferry/protocol/SocketsTest.java
+++ b/src/test/java/stileferry/protocol/SocketsTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** The shares in which a controller's sockets are divided. */
 class SocketsTest {
     /** Guards against shares that are more than the whole: under load they would starve each other. */
     @ParameterizedTest
