Fleet is split: failure detection and the sending of commands have classes of their own

No change of behaviour. Also renamed there: greetings are announcements of the term, a nudge is a wish to send soon, dark zones are unreachable ones.

--- /dev/null
+++ b/src/main/java/stileferry/coordination/CommandSender.java
@@ -0,0 +1,286 @@
+package stileferry.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Messages;
+import stileferry.protocol.Messages.Signal;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Report;
+
+/** Decides what workers shall do, and sends it to them without waiting for their reports where that is worth it. */
+final class CommandSender {
+    private static final long ANNOUNCE_MS = 100;
+
+    /** A question without a task in it waits for so many report intervals: many may be asked that can't answer. */
+    private static final double ASK_REPORTS = 0.25;
+
+    /** At least this long, as packets get lost. */
+    private static final long LEAST_ASK_MS = 1000;
+
+    /** Announcements at a time on a small fleet, which must not wait for what only a large one needs. */
+    private static final int LEAST_ANNOUNCEMENTS = 10;
+
+    /** So many times fewer announcements when there is too much to do. */
+    private static final int FEWER_WHEN_BEHIND = 5;
+
+    private final Board board;
+    private final Outside outside;
+    private final Leadership leadership;
+    private final long term;
+    private final Lateness lateness;
+    private final Answers answers;
+    private final long reportMs;
+    private final long cancelMs;
+    private final long askMs;
+    private final int maxInFlight;
+    private final ArrayDeque<Machine> toAnnounceTo = new ArrayDeque<>();
+    private final Set<Machine> wanted = new LinkedHashSet<>();
+    private final Set<Machine> toAsk = new LinkedHashSet<>();
+    private final Set<Machine> inFlight = new LinkedHashSet<>();
+    private boolean closed;
+
+    /** Takes what workers answer to commands. */
+    interface Answers {
+        /** A worker has answered with where it stands. */
+        void answered(Machine machine, Report report);
+    }
+
+    CommandSender(Board board, Outside outside, Leadership leadership, long term, Lateness lateness, Answers answers) {
+        this.board = board;
+        this.outside = outside;
+        this.leadership = leadership;
+        this.term = term;
+        this.lateness = lateness;
+        this.answers = answers;
+        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
+        this.cancelMs = Math.round(board.settings.workers().cancelS() * 1000);
+        this.askMs = Math.max(LEAST_ASK_MS, Math.round(reportMs * ASK_REPORTS));
+        this.maxInFlight = board.settings.sockets().commands();
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** All that the worker should do and has not been seen to have done; as far as this node is sure to lead. */
+    List<Signal> signals(Machine m, boolean inAnswer) {
+        List<Signal> signals = new ArrayList<>();
+        if (!leadership.sure()) {
+            stopCancelled(m, signals);
+            return signals;
+        }
+        long now = outside.now();
+        for (Report.TaskState t : m.lastTasks()) {
+            Claim c = m.claims.get(t.task());
+            boolean claimed = c != null && c.attempt == t.attempt();
+            if (claimed) {
+                continue;
+            }
+            if (t.stage() != Report.Stage.EXITED) {
+                signals.add(new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0));
+            } else if (inAnswer
+                    && m.accepted(term)
+                    && !m.settling.contains(t.key())
+                    && !m.openRuns.containsKey(t.key())) {
+                // Only in answers to reports: a direct one could overtake an answer that repeats the start, and
+                // after a clear a repeated start runs the task once more.
+                signals.add(new Signal(Signal.Kind.CLEAR, t.task(), t.attempt(), 0));
+            }
+        }
+        for (Claim c : m.claims.values()) {
+            if (!c.startable() || c.session != m.session) {
+                continue;
+            }
+            boolean lateCancel = c.job.cancelled && now - c.stopAskedAt > cancelMs / 2;
+            if (c.stage == null && (!c.stopping() || m.openRuns.containsKey(c.key) && inAnswer && !lateCancel)) {
+                // For a stopped task an unanswered start is made harmless by letting the worker know the attempt.
+                signals.add(new Signal(Signal.Kind.RUN, c.name, c.attempt, 0));
+                c.runsSent++;
+                if (!inAnswer) {
+                    m.openRuns.merge(c.key, 1, Integer::sum);
+                }
+            }
+            if (c.stopping()
+                    && c.stage != Report.Stage.EXITED
+                    && !(c.stage == Report.Stage.SAVING && c.stopGraceS > 0)) {
+                signals.add(new Signal(Signal.Kind.KILL, c.name, c.attempt, c.stopGraceS));
+            }
+        }
+        return signals;
+    }
+
+    private static boolean hasCancelled(Machine m) {
+        return m.claims.values().stream().anyMatch(c -> c.job.cancelDurable);
+    }
+
+    /** Whoever leads, a job whose cancellation is durable stays cancelled, and its tasks have to go. */
+    private static void stopCancelled(Machine m, List<Signal> signals) {
+        for (Claim c : m.claims.values()) {
+            if (c.job.cancelDurable && c.stopping() && c.session == m.session && c.stage != Report.Stage.EXITED) {
+                signals.add(new Signal(Signal.Kind.KILL, c.name, c.attempt, 0));
+            }
+        }
+    }
+
+    /** Wants this machine to be asked where it stands. */
+    void ask(Machine m) {
+        toAsk.add(m);
+    }
+
+    /** Wants commands to go out to this machine without waiting for its next report. */
+    void sendSoon(Machine m) {
+        wanted.add(m);
+    }
+
+    /** Tells every machine that was not heard yet this term, a few at a time: most will have reported before. */
+    void announceTerm() {
+        board.machines.values().forEach(m -> {
+            if (!m.heard) {
+                toAnnounceTo.add(m);
+            }
+        });
+        announceToSome();
+    }
+
+    private void announceToSome() {
+        int some = LEAST_ANNOUNCEMENTS + (int) (board.machines.size() * ANNOUNCE_MS / (2 * reportMs));
+        if (lateness.behind()) {
+            some = Math.max(1, some / FEWER_WHEN_BEHIND); // most will come by themselves
+        }
+        while (!closed && some > 0 && !toAnnounceTo.isEmpty() && mayAsk()) {
+            Machine m = toAnnounceTo.poll();
+            if (!m.heard && !m.deleting) {
+                some--;
+                announceTo(m);
+            }
+        }
+        if (!closed && !toAnnounceTo.isEmpty()) {
+            outside.after(ANNOUNCE_MS, this::announceToSome);
+        }
+    }
+
+    /** Questions to machines that may not answer leave room for commands to those that do. */
+    private boolean mayAsk() {
+        return inFlight.size() < Math.max(1, maxInFlight / 2);
+    }
+
+    /** Notes machines in doubt, to be asked whether they hear us, and silent ones, whether they are there. */
+    void probe() {
+        long now = outside.now();
+        for (Machine m : board.machines.values()) {
+            boolean doubtful = m.unreachedSince != 0 && now - m.unreachedSince > reportMs / 2;
+            boolean silent =
+                    m.heard && !m.claims.isEmpty() && now - m.heardAt > FailureDetector.SILENT_AFTER_REPORTS * reportMs;
+            if ((doubtful || silent) && !m.deleting && !m.addr.isEmpty() && !inFlight.contains(m)) {
+                toAsk.add(m);
+            }
+        }
+    }
+
+    /** Sends what was wanted since the last turn; machines not heard lately get it in answer to their reports. */
+    void send() {
+        if (closed) {
+            return;
+        }
+        boolean sure = leadership.sure();
+        if (sure) {
+            askSome();
+        }
+        if (wanted.isEmpty()) {
+            return;
+        }
+        for (Machine m : List.copyOf(wanted)) {
+            if (inFlight.contains(m)) {
+                continue; // again when the answer is there
+            }
+            if (inFlight.size() >= maxInFlight) {
+                return; // sockets are few; the rest goes out as answers come
+            }
+            if (!sure && !hasCancelled(m)) {
+                continue; // all else waits until this node is sure again
+            }
+            wanted.remove(m);
+            if (!m.heard
+                    || m.deleting
+                    || m.addr.isEmpty()
+                    || outside.now() - m.heardAt > 2 * reportMs
+                    || lateness.behind() && !hurry(m)) {
+                continue;
+            }
+            List<Signal> signals = signals(m, false);
+            if (!signals.isEmpty()) {
+                command(m, m.session, signals, 1, reportMs);
+            }
+        }
+    }
+
+    /**
+     * Whether a machine should hear at once what it shall do, although a command costs as much as several reports and
+     * its next report will be answered with it: critical tasks wait to start there, or a task has to make room.
+     */
+    private static boolean hurry(Machine m) {
+        for (Claim c : m.claims.values()) {
+            if (c.stopping() || c.stage == null && c.job.spec.priority() == JobSpec.Priority.CRITICAL) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Asks machines as answers come: after a change of leader, or a cut, all of them may be in doubt at once. */
+    private void askSome() {
+        while (!toAsk.isEmpty() && mayAsk()) {
+            Machine m = toAsk.iterator().next();
+            toAsk.remove(m);
+            if (!m.deleting && !inFlight.contains(m)) {
+                command(m, m.session, List.of(), 1, askMs);
+            }
+        }
+    }
+
+    /** Makes this term known to a worker at once, so that it tells where it stands and ignores older leaders. */
+    void announceTo(Machine m) {
+        if (!m.addr.isEmpty() && !m.heard && !m.deleting) {
+            long session = Math.max(1, m.session);
+            for (Claim c : m.claims.values()) {
+                session = Math.max(session, c.session);
+            }
+            command(m, session, List.of(), 2, askMs);
+        }
+    }
+
+    private void command(Machine m, long session, List<Signal> signals, int tries, long timeoutMs) {
+        inFlight.add(m);
+        outside.call(
+                m.addr, "POST", "/commands", Messages.commands(term, session, signals), timeoutMs, (status, body) -> {
+                    inFlight.remove(m);
+                    if (closed) {
+                        return;
+                    }
+                    if (status == 200 || status == 409 || status == Outside.NOT_SENT) {
+                        for (Signal s : signals) {
+                            if (s.kind() == Signal.Kind.RUN) {
+                                m.openRuns.computeIfPresent(s.key(), (a, n) -> n == 1 ? null : n - 1);
+                            }
+                        }
+                    }
+                    Report r = status == 200 || status == 409 ? Report.read(body) : null;
+                    if (r == null || !r.machine().equals(m.name)) {
+                        return; // no answer, or another machine that has the address now
+                    }
+                    if (r.token() > term) {
+                        leadership.learn(r.token(), "");
+                        return;
+                    }
+                    m.unreachedSince = 0; // it has heard this
+                    answers.answered(m, r);
+                    if (status == 409 && tries > 1 && r.session() != session) {
+                        command(m, r.session(), List.of(), tries - 1, timeoutMs);
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/FailureDetector.java
@@ -0,0 +1,169 @@
+package stileferry.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Outside;
+
+/**
+ * Judges machines that are silent: whose lease has lapsed for certain, which are most likely lost, and which zones the
+ * network keeps apart. Silence proves nothing by itself; only a lapsed lease does.
+ */
+final class FailureDetector {
+    /** After so many report intervals a machine is silent: reports come a quarter late at most. */
+    static final double SILENT_AFTER_REPORTS = 1.4;
+
+    private static final Logger LOG = LoggerFactory.getLogger("fleet");
+
+    /** Clocks drift by 0.05% at most; twice that, and a little for timers and packets. */
+    private static final double DRIFT = 0.001;
+
+    private static final long LAPSE_SLACK_MS = 500;
+
+    /** A worker that can't reach this node comes back by way of the others well before. */
+    private static final double LOST_AFTER_LEASES = 0.55;
+
+    /** What a failed report costs a worker: its patience, and the pause before it tries the next controller. */
+    private static final long DETOUR_MS = 5000;
+
+    /** Services run on ordinary machines, so these may fail twice: on a small fleet one cost them too often. */
+    private static final int DETOURS = 2;
+
+    /** Report intervals between two reports, at most. */
+    private static final double LATE_REPORT = 1.25;
+
+    /** Silent machines of a zone, as a share of all, above which the network is at fault rather than each of them. */
+    private static final double LOST_SHARE = 0.5;
+
+    private final Board board;
+    private final Outside outside;
+    private final Leadership leadership;
+    private final long term;
+    private final Fleet.Events events;
+    private final Silences silences;
+    private final long reportMs;
+    private final long leaseMs;
+    private final Map<String, Long> lastUnreachable = new HashMap<>();
+
+    FailureDetector(
+            Board board, Outside outside, Leadership leadership, long term, Fleet.Events events, Silences silences) {
+        this.board = board;
+        this.outside = outside;
+        this.leadership = leadership;
+        this.term = term;
+        this.events = events;
+        this.silences = silences;
+        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
+        this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
+    }
+
+    /**
+     * When any controller can last have renewed the lease of a machine in a session; -1: unknown. A session that was
+     * only seen in answers to commands has a lease of its own, which no answer to a report has begun.
+     */
+    private long lastAnswered(Machine m, long session, long acked) {
+        if (m.answeredAt > 0 && m.accepted(term)) {
+            return Math.max(m.answeredAt, m.sessionSeenAt);
+        }
+        if (m.answeredBefore >= 0 && !m.heard && session <= m.answeredBeforeSession) {
+            return Math.max(m.answeredBefore, m.answeredAt);
+        }
+        return acked >= 0 ? Math.max(acked, Math.max(m.answeredAt, m.sessionSeenAt)) : -1;
+    }
+
+    /** Looks for leases that have lapsed for certain. */
+    void checkLeases() {
+        long now = outside.now();
+        long acked = leadership.allAckedAt();
+        for (Machine m : board.machines.values()) {
+            long over = m.session;
+            for (Claim c : m.claims.values()) {
+                over = Math.max(over, c.session);
+            }
+            long since = lastAnswered(m, over, acked);
+            if (since >= 0 && over > m.lapsedSession) {
+                silences.note(m, over, since);
+            }
+            if (since < 0 || now < since + Math.round(leaseMs * (1 + DRIFT)) + LAPSE_SLACK_MS) {
+                continue;
+            }
+            if (over > m.lapsedSession) {
+                m.lapsedSession = over;
+                if (m.heard || !m.claims.isEmpty()) {
+                    LOG.info("machine {} is silent, its lease has lapsed with {} tasks", m.name, m.claims.size());
+                }
+                for (Claim c : List.copyOf(m.claims.values())) {
+                    events.gone(c, "lease");
+                }
+                events.changed();
+            }
+        }
+    }
+
+    /** Zones of which so many machines are silent that the network must be at fault, rather than each of them. */
+    Set<String> unreachableZones(long activeSince) {
+        long before = outside.now() - Math.round(SILENT_AFTER_REPORTS * reportMs);
+        Map<String, int[]> zones = new HashMap<>();
+        for (Machine m : board.machines.values()) {
+            if (m.type != null && !m.deleting && !m.booting) {
+                int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
+                counts[0]++;
+                counts[1] += lastSeen(m, activeSince) < before ? 1 : 0;
+            }
+        }
+        Set<String> unreachable = new HashSet<>();
+        zones.forEach((zone, counts) -> {
+            if (counts[1] > Math.max(1, LOST_SHARE * counts[0])) {
+                unreachable.add(zone);
+                lastUnreachable.put(zone, outside.now());
+            }
+        });
+        return unreachable;
+    }
+
+    /** A new leader has heard nobody; who does not come in time was taken before or while it took over. */
+    private static long lastSeen(Machine m, long activeSince) {
+        return Math.max(m.heardAt, activeSince);
+    }
+
+    /** Machines with work that are most likely gone or hang: they neither report nor answer, though their zone does. */
+    List<Machine> lost(long activeSince) {
+        long forSpot = outside.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
+        long forOthers = Math.min(forSpot, outside.now() - Math.round(LATE_REPORT * reportMs) - DETOURS * DETOUR_MS);
+        List<Machine> silent = new ArrayList<>();
+        for (Machine m : board.machines.values()) {
+            if (m.type != null
+                    && !m.deleting
+                    && !m.booting
+                    && !m.claims.isEmpty()
+                    && lastSeen(m, activeSince) < (m.spot ? forSpot : forOthers)) {
+                silent.add(m);
+            }
+        }
+        unreachableZones(activeSince);
+        // for a lease's time machines may still be on their way back, some of them by way of the other controllers
+        silent.removeIf(
+                m -> lastUnreachable.containsKey(m.zone) && outside.now() - lastUnreachable.get(m.zone) < leaseMs);
+        return silent;
+    }
+
+    /**
+     * Whether a command that is sent now can be expected to arrive: the machine reports in time, and heard us before.
+     */
+    boolean hears(Machine m) {
+        return m.heard
+                && !m.deleting
+                && m.unreachedSince == 0
+                && outside.now() - m.heardAt <= SILENT_AFTER_REPORTS * reportMs;
+    }
+
+    /** True when nothing was heard for longer than reports can take. */
+    boolean silent(Machine m) {
+        return m.heard && outside.now() - m.heardAt > 2 * reportMs;
+    }
+}
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -269,8 +269,8 @@
             return;
         }
         outside.after(Math.round(1000 * board.options.number(Options.PASS_INTERVAL_S)), this::tick);
-        fleet.checkLeases();
-        fleet.probe();
+        fleet.failures().checkLeases();
+        fleet.commands().probe();
         users.giveUpWaiting();
         checkSockets();
         silences.giveUp();
@@ -386,14 +386,14 @@
                 startWhole(claim.job, claim.gangAttempt);
             }
         } else if (mayStart(claim)) {
-            fleet.nudge(machine);
+            fleet.commands().sendSoon(machine);
         }
     }
 
     private void startWhole(Job job, GangAttempt attempt) {
         for (Claim claim : job.claims.values()) {
             if (claim.gangAttempt == attempt && mayStart(claim)) {
-                fleet.nudge(board.machine(claim.machine));
+                fleet.commands().sendSoon(board.machine(claim.machine));
             }
         }
     }
@@ -422,7 +422,7 @@
      */
     private boolean allHear(Job gang) {
         for (Claim claim : gang.claims.values()) {
-            if (!fleet.hears(board.machine(claim.machine))) {
+            if (!fleet.failures().hears(board.machine(claim.machine))) {
                 LOG.info("gang {} is stopped without saving: {} may not hear it", gang.spec.id(), claim.machine);
                 return false;
             }
@@ -441,7 +441,7 @@
             return;
         }
         board.stop(claim, graceS, outside.now());
-        fleet.nudge(board.machine(claim.machine));
+        fleet.commands().sendSoon(board.machine(claim.machine));
     }
 
     // ---- what workers tell
@@ -674,7 +674,7 @@
         if (leadership.sure()) {
             ledger.flush();
         }
-        fleet.send();
+        fleet.commands().send();
     }
 
     // ---- users
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -47,7 +47,7 @@
     private boolean listedOnce;
     private boolean deleting;
     private boolean closed;
-    private Set<String> dark = Set.of();
+    private Set<String> unreachable = Set.of();
     private int spotMachines;
     private int allMachines;
 
@@ -203,7 +203,7 @@
         }
         if (!listedOnce) {
             listedOnce = true;
-            fleet.greetAll();
+            fleet.commands().announceTerm();
         }
     }
 
@@ -215,14 +215,16 @@
         long lag = Math.round(board.settings.cloud().listLagS() * 1000);
         long lease = Math.round(board.settings.workers().leaseS() * 1000);
         double spare = settled ? spareCpus() : 0;
-        Set<Machine> lost = settled ? new HashSet<>(fleet.lost(since)) : Set.of();
+        Set<Machine> lost = settled ? new HashSet<>(fleet.failures().lost(since)) : Set.of();
         for (Machine m : board.machines.values()) {
             if (m.deleting) {
                 continue;
             }
             String why = null;
             long quiet = now - Math.max(since, m.rentedAt); // a new leader has not been there to hear it before
-            if (m.missingSince != 0 && now - m.missingSince > lag / 2 && (fleet.silent(m) || !m.heard)) {
+            if (m.missingSince != 0
+                    && now - m.missingSince > lag / 2
+                    && (fleet.failures().silent(m) || !m.heard)) {
                 // Listed before and not listed now: it is gone. Deleting it is free and makes that certain.
                 why = "it is not listed any more";
             } else if (!m.heard
@@ -253,7 +255,7 @@
             } else if (m.heard
                     && m.claims.isEmpty()
                     && settled
-                    && !fleet.silent(m)
+                    && !fleet.failures().silent(m)
                     && (m.noticeS >= 0 || m.faulty || m.draining)) {
                 why = "it is empty and shall not be used";
             } else if (m.heard
@@ -336,7 +338,7 @@
     /** Rents for the jobs that wait, after counting the machines that boot. */
     void rent(List<Job> waiting) {
         repeatRentals();
-        dark = fleet.darkZones(since); // what boots there can't report
+        unreachable = fleet.failures().unreachableZones(since); // what boots there can't report
         List<Bin> coming = new ArrayList<>();
         Map<String, Integer> perZone = new HashMap<>();
         spotMachines = 0;
@@ -435,7 +437,7 @@
         }
         String best = null;
         for (Map.Entry<String, Integer> e : room.entrySet()) {
-            if (!dark.contains(e.getKey())
+            if (!unreachable.contains(e.getKey())
                     && (best == null
                             || e.getValue() > room.get(best)
                             || e.getValue().equals(room.get(best)) && e.getKey().compareTo(best) < 0)) {
@@ -460,7 +462,7 @@
                     Refusal refusal = refusals.get(group(type, zone, spot));
                     if ((!spot || moreSpot)
                             && (refusal == null || refusal.until <= outside.now())
-                            && !dark.contains(zone)
+                            && !unreachable.contains(zone)
                             && bin.fits(spec)
                             && (onlyZone == null || onlyZone.equals(zone))
                             && (best == null || cheaper(bin, best, perZone))) {
--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -111,20 +111,22 @@
             board.machine("host-" + i).heard = true;
             board.machine("host-" + i).heardAt = outside.now();
         }
-        assertEquals(List.of(board.machine("host-0")), fleet.lost(since));
+        assertEquals(List.of(board.machine("host-0")), fleet.failures().lost(since));
         w.play(7);
-        assertEquals(List.of(), fleet.lost(since), "nobody reports: the network is at fault");
+        assertEquals(List.of(), fleet.failures().lost(since), "nobody reports: the network is at fault");
         for (int i = 2; i < 8; i++) {
             board.machine("host-" + i).heardAt = outside.now();
         }
         // found on a day where the leader could not hear its workers: most had come back by way of the others
-        assertEquals(List.of(), fleet.lost(since), "the rest may be on their way");
+        assertEquals(List.of(), fleet.failures().lost(since), "the rest may be on their way");
         for (int t = 0; t < 5; t++) {
             w.play(2);
             for (int i = 2; i < 8; i++) {
                 board.machine("host-" + i).heardAt = outside.now();
             }
         }
-        assertEquals(List.of(board.machine("host-0"), board.machine("host-1")), fleet.lost(since));
+        assertEquals(
+                List.of(board.machine("host-0"), board.machine("host-1")),
+                fleet.failures().lost(since));
     }
 }
--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -272,7 +272,7 @@
         World.Node node = w.nodes.get("n0");
         node.start();
         Fleet fleet = new Fleet(board, node.outside, null, 1, null, null, new Lateness(node.outside, 1));
-        fleet.greetAll();
+        fleet.commands().announceTerm();
         w.play(20);
         int commands = board.settings.sockets().commands();
         assertTrue(most[0] <= commands / 2, most[0] + " questions at once, " + commands + " sockets for commands");
