--- a/src/main/java/stileferry/coordination/GangCounters.java
+++ b/src/main/java/stileferry/coordination/GangCounters.java
@@ -28,10 +28,10 @@
         if (!isFirstOfItsAttempt(claim)) {
             return;
         }
-        switch (task.why()) {
-            case Report.HALTED -> saved += task.saved() ? 1 : 0;
-            case Report.INCOMPLETE -> incomplete++;
-            case Report.PEERS -> lost++;
+        switch (task.reason()) {
+            case HALTED -> saved += task.saved() ? 1 : 0;
+            case GANG_INCOMPLETE -> incomplete++;
+            case PEER_LOST -> lost++;
             default -> failed++;
         }
     }
--- /dev/null
+++ b/src/main/java/stileferry/coordination/JobEnds.java
@@ -0,0 +1,95 @@
+package stileferry.coordination;
+
+import java.util.List;
+import java.util.function.Consumer;
+import stileferry.storage.Ledger;
+
+/** Ends of jobs, done or cancelled. Users hear of them when they are durable, of cancellations when enough know. */
+final class JobEnds {
+    private final Board board;
+    private final Ledger ledger;
+    private final EndedJobs ended;
+    private final Leadership leadership;
+    private final Users users;
+    private final Consumer<Claim> stop;
+
+    /** The consumer stops a claimed task at once. */
+    JobEnds(Board board, Ledger ledger, EndedJobs ended, Leadership leadership, Users users, Consumer<Claim> stop) {
+        this.board = board;
+        this.ledger = ledger;
+        this.ended = ended;
+        this.leadership = leadership;
+        this.users = users;
+        this.stop = stop;
+    }
+
+    /** Ends the jobs that were over when a term began, and goes on with what was cancelled. */
+    void endWhatIsOver() {
+        for (Job job : List.copyOf(board.jobs.values())) {
+            if (job.cancelled) {
+                cancelDurable(job);
+            } else if (job.unfinished() == 0) {
+                end(job, "done");
+            }
+        }
+    }
+
+    private void stopAll(Job job) {
+        for (Claim claim : List.copyOf(job.claims.values())) {
+            stop.accept(claim);
+        }
+    }
+
+    void end(Job job, String how) {
+        end(job, how, null);
+    }
+
+    /** Moves a job among the ended ones; what else is stored of it goes afterwards. */
+    void end(Job job, String how, Runnable onDurable) {
+        if (job.ending) {
+            return;
+        }
+        job.ending = true;
+        EndedJobs.Ended record = new EndedJobs.Ended(how, job.doneCount());
+        Ledger.Entry entry = new Ledger.Entry(Job.endedKey(job.spec.id()), 0, record::write);
+        ledger.move(entry, job.record, () -> {
+            job.over = true;
+            leadership.cancellations().over(job.spec.id());
+            board.jobs.remove(job.spec.id());
+            ended.put(job.spec.id(), record);
+            users.answer(job, Users.ok(200, record.answer(job.spec.id())));
+            if (onDurable != null) {
+                onDurable.run();
+            }
+        });
+    }
+
+    void cancel(Job job) {
+        job.cancelled = true;
+        for (Claim claim : List.copyOf(job.claims.values())) {
+            if (claim.runsSent == 0) {
+                board.remove(claim, false); // no machine has heard of it
+                ledger.log(TaskEvents.freed(claim), null);
+            }
+        }
+        if (job.claims.isEmpty()) {
+            end(job, "cancelled");
+            return;
+        }
+        ledger.put(job.record, () -> cancelDurable(job));
+    }
+
+    /** Its user hears of it when enough controllers know: whoever renews leases may have to stop its tasks. */
+    void cancelDurable(Job job) {
+        job.cancelDurable = true;
+        stopAll(job);
+        if (job.claims.isEmpty()) {
+            end(job, "cancelled");
+            return;
+        }
+        leadership.tellCancelled(job.spec.id(), () -> {
+            job.cancelTold = true;
+            users.answer(job, users.state(job, 200));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/StateLoader.java
@@ -0,0 +1,153 @@
+package stileferry.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.Options;
+import stileferry.protocol.Outside;
+import stileferry.storage.Ledger;
+import stileferry.storage.StateClient;
+
+/** Reads all that is durable when a term of leading begins, and builds the jobs and claims from it. */
+final class StateLoader {
+    private static final Logger LOG = LoggerFactory.getLogger("leader");
+
+    private static final long RETRY_MS = 300;
+
+    /** Records of an older form, read and then replaced. */
+    private static final String OLD_PARTS = "c/";
+
+    private final Outside outside;
+    private final StateClient state;
+    private final Board board;
+    private final Ledger ledger;
+    private final Listener listener;
+    private boolean closed;
+
+    /** Told what was read. */
+    interface Listener {
+        /** The jobs that were cancelled before, long before everything has been read. */
+        void cancelledBefore(List<String> jobs);
+
+        /** The operators' settings. */
+        void options(Options options);
+
+        /** Everything is on the board. */
+        void loaded(Loaded loaded);
+    }
+
+    /** What was read beside jobs and claims. */
+    record Loaded(long optionsRevision, int claims, Iterable<Silences.Silence> silences) {}
+
+    StateLoader(Outside outside, StateClient state, Board board, Ledger ledger, Listener listener) {
+        this.outside = outside;
+        this.state = state;
+        this.board = board;
+        this.ledger = ledger;
+        this.listener = listener;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    void load() {
+        read(List.of(Job.PREFIX, Ledger.EVENTS, OLD_PARTS), new ArrayList<>());
+    }
+
+    /** Reads one prefix after the other; starts again when a read fails. */
+    private void read(List<String> prefixes, List<List<StateClient.Row>> done) {
+        if (prefixes.isEmpty()) {
+            readOptions(done);
+            return;
+        }
+        state.scan(prefixes.get(0), true, read -> {
+            if (closed) {
+                return;
+            }
+            if (read.rows() == null) {
+                outside.after(RETRY_MS, this::load);
+                return;
+            }
+            if (prefixes.get(0).equals(Job.PREFIX)) {
+                listener.cancelledBefore(cancelled(read.rows()));
+            }
+            done.add(read.rows());
+            read(prefixes.subList(1, prefixes.size()), done);
+        });
+    }
+
+    private static List<String> cancelled(List<StateClient.Row> jobs) {
+        List<String> ids = new ArrayList<>();
+        for (StateClient.Row row : jobs) {
+            if (row.value().path("cancelled").asBoolean()) {
+                ids.add(id(row));
+            }
+        }
+        return ids;
+    }
+
+    private static String id(StateClient.Row job) {
+        return job.key().substring(Job.PREFIX.length());
+    }
+
+    private void readOptions(List<List<StateClient.Row>> rows) {
+        state.get(Admin.KEY, (status, body) -> {
+            if (closed) {
+                return;
+            }
+            if (status == 200) {
+                listener.options(Options.read(body.path("v")));
+            } else if (status != 404) {
+                outside.after(RETRY_MS, this::load);
+                return;
+            }
+            long revision = status == 200 ? body.path("entry_rev").asLong() : 0;
+            buildJobs(rows.get(0));
+            TaskEvents.Reader reader = new TaskEvents.Reader(board.jobs);
+            buildFromOldParts(rows.get(2), reader);
+            buildFromRecords(rows.get(1), reader);
+            List<Claim> claims = reader.claims();
+            claims.forEach(board::add);
+            listener.loaded(new Loaded(revision, claims.size(), reader.silences()));
+        });
+    }
+
+    private void buildJobs(List<StateClient.Row> rows) {
+        List<Job> jobs = new ArrayList<>();
+        for (StateClient.Row row : rows) {
+            try {
+                jobs.add(Job.read(row.value(), row.revision()));
+            } catch (JobSpec.Malformed e) {
+                // its user was told that it is accepted, so nobody may hear that it is unknown
+                LOG.error("the record {} can't be read, its job can't run: {}", row.key(), e.getMessage());
+                board.unreadable.add(id(row));
+            }
+        }
+        jobs.sort(Comparator.comparingLong(j -> j.order));
+        jobs.forEach(job -> board.jobs.put(job.spec.id(), job));
+    }
+
+    private void buildFromOldParts(List<StateClient.Row> rows, TaskEvents.Reader reader) {
+        long number = 0;
+        for (StateClient.Row row : rows) {
+            String[] key = row.key().split("/");
+            Job job = key.length == 3 ? board.jobs.get(key[1]) : null;
+            // what is left of a job that ended is deleted like the others, with nothing kept of it
+            List<Ledger.Event> events =
+                    job == null ? List.of() : reader.readChunk(job, Integer.parseInt(key[2]), row.value(), --number);
+            ledger.restore(row.key(), row.revision(), number, events);
+        }
+    }
+
+    private void buildFromRecords(List<StateClient.Row> rows, TaskEvents.Reader reader) {
+        rows.sort(Comparator.comparingLong(row -> row.value().path("n").asLong()));
+        for (StateClient.Row row : rows) {
+            long number = row.value().path("n").asLong();
+            ledger.restore(row.key(), row.revision(), number, reader.read(row.value(), number));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/TaskLifecycle.java
@@ -0,0 +1,354 @@
+package stileferry.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.ExitReason;
+import stileferry.protocol.Outside;
+import stileferry.protocol.Report;
+import stileferry.storage.Ledger;
+
+/**
+ * The life of tasks in one term, from their claim over start and stop to the proof that they are gone. A gang's tasks live
+ * and end together.
+ */
+final class TaskLifecycle implements Fleet.Events {
+    private static final Logger LOG = LoggerFactory.getLogger("leader");
+
+    private static final double SLOWDOWN_THRESHOLD_S = 60;
+
+    private final Board board;
+    private final Outside outside;
+    private final Ledger ledger;
+    private final TermNumbers numbers;
+    private final Fleet fleet;
+    private final JobEnds jobEnds;
+    private final Runnable changed;
+    private final GangCounters gangCounters = new GangCounters();
+    private final long roundMs;
+
+    /**
+     * @param createFleet makes the fleet, which tells this lifecycle of its tasks
+     * @param createJobEnds makes the ends of jobs, which stop their tasks here
+     * @param changed run when something changed that a pass may use
+     */
+    TaskLifecycle(
+            Board board,
+            Outside outside,
+            Ledger ledger,
+            TermNumbers numbers,
+            Function<Fleet.Events, Fleet> createFleet,
+            Function<TaskLifecycle, JobEnds> createJobEnds,
+            Runnable changed) {
+        this.board = board;
+        this.outside = outside;
+        this.ledger = ledger;
+        this.numbers = numbers;
+        this.fleet = createFleet.apply(this);
+        this.jobEnds = createJobEnds.apply(this);
+        this.changed = changed;
+        this.roundMs = board.settings.workers().reportRoundMs();
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    JobEnds jobEnds() {
+        return jobEnds;
+    }
+
+    GangCounters gangCounters() {
+        return gangCounters;
+    }
+
+    @Override
+    public void changed() {
+        changed.run();
+    }
+
+    /** Stops a task whose job was cancelled. */
+    void stopCancelled(Claim claim) {
+        stopOne(claim, 0);
+    }
+
+    /** Starts the next waiting task of a job, or all tasks of a gang, on these machines. */
+    void start(Job job, List<Machine> machines, boolean overdue) {
+        long now = outside.now();
+        int index = job.nextWaiting(now);
+        // The tasks of a gang find each other by their attempt, so it is the same for all of them.
+        long attempt = numbers.next();
+        GangAttempt gangAttempt = null;
+        if (job.spec.gang()) {
+            gangAttempt = new GangAttempt(machines.size());
+            gangCounters.attempted();
+        }
+        for (Machine machine : machines) {
+            Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
+            claim.overdue = overdue;
+            claim.gangAttempt = gangAttempt;
+            board.add(claim);
+            ledger.log(TaskEvents.claimed(claim), () -> claimDurable(claim, machine));
+            index = job.taken.nextClearBit(index);
+        }
+    }
+
+    private void claimDurable(Claim claim, Machine machine) {
+        claim.durable = true;
+        if (claim.gangAttempt != null) {
+            if (claim.gangAttempt.claimDurable()) {
+                startWhole(claim.job, claim.gangAttempt);
+            }
+        } else if (mayStart(claim)) {
+            fleet.commands().sendSoon(machine);
+        }
+    }
+
+    private void startWhole(Job job, GangAttempt attempt) {
+        for (Claim claim : job.claims.values()) {
+            if (claim.gangAttempt == attempt && mayStart(claim)) {
+                fleet.commands().sendSoon(board.machine(claim.machine));
+            }
+        }
+    }
+
+    private static boolean mayStart(Claim claim) {
+        return claim.job.claims.get(claim.index) == claim && !claim.stopping() && !claim.job.cancelled;
+    }
+
+    /**
+     * Stops a claimed task. A gang is stopped whole: its tasks can save only together, and one that is left alone loses
+     * what it did.
+     */
+    void stop(Claim claim, double graceS) {
+        if (claim.job.spec.gang()) {
+            double together = graceS > 0 && !allHear(claim.job) ? 0 : graceS;
+            stopOne(claim, together);
+            stopOthers(claim, together);
+        } else {
+            stopOne(claim, graceS);
+        }
+    }
+
+    /**
+     * Whether all tasks of a gang can be expected to hear a stop in time. If one does not, the others can't save;
+     * told to, they would only wait for it, and what they did since their last checkpoint is lost all the same.
+     */
+    private boolean allHear(Job gang) {
+        for (Claim claim : gang.claims.values()) {
+            if (!fleet.failures().hears(board.machine(claim.machine))) {
+                LOG.info("gang {} is stopped without saving: {} may not hear it", gang.spec.id(), claim.machine);
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** One that its machine has never heard of is simply not there. */
+    private void stopOne(Claim claim, double graceS) {
+        if (claim.job.claims.get(claim.index) != claim) {
+            return; // ended with its gang; counted out twice it would let its team beyond its limit
+        }
+        if (claim.runsSent == 0) {
+            LOG.debug("{} is not on {}: it was never sent", claim.name, claim.machine);
+            settle(claim, false, null);
+            return;
+        }
+        board.stop(claim, graceS, outside.now());
+        fleet.commands().sendSoon(board.machine(claim.machine));
+    }
+
+    @Override
+    public void exited(Machine machine, Claim claim, Report.TaskState t) {
+        Job job = claim.job;
+        if (job.claims.get(claim.index) != claim) {
+            return; // ended with its gang
+        }
+        long now = outside.now();
+        boolean done = t.reason() == ExitReason.DONE && !job.spec.service();
+        List<Claim> others = done && job.spec.gang() ? finishGang(job, claim) : List.of();
+        machine.settling.add(t.key());
+        job.begun |= done || t.reason() == ExitReason.ERROR;
+        logExit(machine, claim, t, now);
+        if (done) {
+            succeeded(machine, claim, now);
+        } else {
+            failed(machine, claim, t, now);
+        }
+        settle(claim, done, () -> {
+            machine.settling.remove(t.key());
+            others.forEach(this::mayClear);
+        });
+    }
+
+    private void logExit(Machine machine, Claim claim, Report.TaskState t, long now) {
+        if (claim.orderedAt > 0 && claim.runningAt > 0) {
+            LOG.debug(
+                    "{} of {} exited on {}: {}, ordered {} ms after its job, running {} ms later, for {} ms",
+                    claim.name,
+                    claim.job.spec.jobClass(),
+                    machine.name,
+                    t.reason(),
+                    claim.orderedAt - now + outside.timeOfDay() - claim.job.acceptedAt,
+                    claim.runningAt - claim.orderedAt,
+                    now - claim.runningAt);
+        }
+    }
+
+    private static void succeeded(Machine machine, Claim claim, long now) {
+        if (claim.orderedAt > 0 && claim.runningAt > 0) {
+            machine.finished(
+                    (now - claim.runningAt) / 1000.0,
+                    (claim.runningAt - claim.orderedAt) / 1000.0,
+                    SLOWDOWN_THRESHOLD_S);
+        }
+        claim.job.successes++;
+        claim.job.retries.remove(claim.index);
+        machine.failures.clear();
+    }
+
+    /** The outcome of a task that ended with its gang is durable. */
+    private void mayClear(Claim claim) {
+        Machine machine = board.machines.get(claim.machine);
+        if (machine != null) {
+            machine.settling.remove(claim.key);
+        }
+    }
+
+    private void failed(Machine machine, Claim claim, Report.TaskState t, long now) {
+        Job job = claim.job;
+        switch (t.reason()) {
+            case ERROR -> {
+                Job.Retry retry = job.retries.computeIfAbsent(claim.index, i -> new Job.Retry());
+                retry.notBefore = now + Math.min(60_000, 1000L << Math.min(6, retry.failures++));
+                job.failedOn.add(machine.name);
+                machine.failures.merge(job.spec.id(), 1, Integer::sum);
+                judge(machine);
+            }
+            case NO_ROOM, ANOTHER_ATTEMPT -> machine.placeAfter = now + roundMs;
+            case UNKNOWN_JOB -> {
+                Job.Retry retry = job.retries.computeIfAbsent(claim.index, i -> new Job.Retry());
+                retry.notBefore = now + Math.min(60_000, 500L << Math.min(7, retry.failures++));
+            }
+            default -> {}
+        }
+        if (job.spec.gang()) {
+            gangCounters.exited(claim, t);
+        }
+        stopGang(claim, t.saved());
+    }
+
+    /**
+     * One task of a gang that does not run stops and requeues them all. If it had saved, so do the others. Else none of
+     * them can: told to save they would only wait for the missing one, and hold their machines until they give up.
+     */
+    private void stopGang(Claim claim, boolean saved) {
+        if (claim.job.spec.gang()) {
+            stopOthers(claim, saved ? claim.job.spec.saveS() : 0);
+        }
+    }
+
+    private void stopOthers(Claim claim, double graceS) {
+        for (Claim other : List.copyOf(claim.job.claims.values())) {
+            if (other != claim && (!other.stopping() || graceS < other.stopGraceS)) {
+                stopOne(other, graceS);
+            }
+        }
+    }
+
+    /**
+     * The tasks of a gang complete together: when one is done, all are, also one whose machine is gone before it tells.
+     * Their end is stored at once, in the record of the job's end, so that no leader starts a part of the gang again.
+     * Returns the claims that have ended so, which their machines may not clear before that is durable.
+     */
+    List<Claim> finishGang(Job job, Claim first) {
+        List<Claim> others = new ArrayList<>(job.claims.values());
+        others.remove(first);
+        for (Claim claim : others) {
+            board.remove(claim, true);
+            Machine machine = board.machine(claim.machine);
+            machine.settling.add(claim.key);
+            machine.idleSince = machine.claims.isEmpty() ? outside.now() : machine.idleSince;
+        }
+        for (int i = 0; i < job.spec.tasks(); i++) {
+            if (first == null || i != first.index) {
+                job.finish(i);
+            }
+        }
+        return others;
+    }
+
+    @Override
+    public void gangRuns(Job job) {
+        gangCounters.started();
+        LOG.debug("all {} tasks of {} of {} run", job.spec.tasks(), job.spec.id(), job.spec.jobClass());
+    }
+
+    @Override
+    public void stopWhole(Claim claim, double graceS) {
+        stop(claim, graceS);
+    }
+
+    /**
+     * An attempt of a gang that was read with fewer claims than tasks was not started, or has lost a task; and an older
+     * version may have left claims of different attempts, whose tasks would wait for each other in vain. Neither can be
+     * completed, nor can its tasks save, so they stop at once and the gang starts again whole.
+     */
+    void stopBrokenAttempt(Job job) {
+        if (job.spec.gang() && !job.claims.isEmpty() && !job.claimsFormOneAttempt()) {
+            List.copyOf(job.claims.values()).forEach(claim -> board.stop(claim, 0, outside.now()));
+        }
+    }
+
+    /**
+     * A machine is faulty when tasks of two jobs failed on it since one succeeded, or one job failed on it again and
+     * again that succeeds elsewhere. A job that fails everywhere speaks against no machine.
+     */
+    private void judge(Machine machine) {
+        int weight = 0;
+        for (var failure : machine.failures.entrySet()) {
+            Job job = board.jobs.get(failure.getKey());
+            if (job == null || job.failedOn.size() < 3) {
+                weight += job != null && job.successes > 0 ? Math.min(2, failure.getValue()) : 1;
+            }
+        }
+        if (weight >= 2 && !machine.faulty) {
+            LOG.info("machine {} fails its tasks and is taken out of use", machine.name);
+            machine.faulty = true;
+            for (Claim claim : List.copyOf(machine.claims.values())) {
+                stop(claim, claim.job.spec.saveS());
+            }
+        }
+    }
+
+    @Override
+    public void gone(Claim claim, String proof) {
+        if (claim.job.claims.get(claim.index) == claim) {
+            LOG.debug("{} is not on {} any more: {}", claim.name, claim.machine, proof);
+            settle(claim, false, null);
+            if (claim.job.spec.gang()) {
+                gangCounters.gone(claim);
+            }
+            stopGang(claim, false);
+        }
+    }
+
+    private void settle(Claim claim, boolean done, Runnable onDurable) {
+        Job job = claim.job;
+        Machine machine = board.machine(claim.machine);
+        board.remove(claim, done);
+        if (machine.claims.isEmpty()) {
+            machine.idleSince = outside.now();
+        }
+        if (job.unfinished() == 0 && !job.cancelled) {
+            jobEnds.end(job, "done", onDurable);
+        } else if (job.cancelled && job.claims.isEmpty()) {
+            jobEnds.end(job, "cancelled", onDurable);
+        } else {
+            ledger.log(done ? TaskEvents.done(job, claim.index) : TaskEvents.freed(claim), onDurable);
+        }
+        changed.run();
+    }
+}
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -30,15 +30,6 @@
     private static final String TASKS = "passengers";
     private static final byte[] NO_BODY = new byte[0];
 
-    /** Exited: stopped by command. */
-    public static final String HALTED = "halted";
-
-    /** Exited: another task of the gang is gone. */
-    public static final String PEERS = "peers";
-
-    /** Exited: the gang was not complete in time. */
-    public static final String INCOMPLETE = "incomplete";
-
     /** Where a task stands on its worker; a gang's task that has its image waits for the others. */
     public enum Stage {
         FETCHING,
@@ -48,8 +39,8 @@
         EXITED
     }
 
-    /** One task of a report; {@code why} is empty unless it has exited. */
-    public record TaskState(String task, long attempt, Stage stage, String why, boolean saved) {
+    /** One task of a report; the reason means something only if it has exited. */
+    public record TaskState(String task, long attempt, Stage stage, ExitReason reason, boolean saved) {
         /** What tells this start of this task from all others. */
         public String key() {
             return task + "#" + attempt;
@@ -155,7 +146,7 @@
             String task = "";
             long attempt = 0;
             Stage stage = Stage.FETCHING; // also for words that are not known yet
-            String why = "";
+            ExitReason reason = ExitReason.OTHER;
             boolean saved = false;
             for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
                 JsonToken value = p.nextToken();
@@ -170,12 +161,12 @@
                             case "exited" -> Stage.EXITED;
                             default -> Stage.FETCHING;
                         };
-                    case "landing_cause" -> why = p.getValueAsString("");
+                    case "landing_cause" -> reason = ExitReason.of(p.getValueAsString(""));
                     case "kept" -> saved = value == JsonToken.VALUE_TRUE;
                     default -> p.skipChildren();
                 }
             }
-            tasks.add(new TaskState(task, attempt, stage, why, saved));
+            tasks.add(new TaskState(task, attempt, stage, reason, saved));
         }
         return tasks;
     }
--- a/src/main/java/stileferry/protocol/Settings.java
+++ b/src/main/java/stileferry/protocol/Settings.java
@@ -27,6 +27,13 @@
         int maxSockets,
         double clockOffMs) {
 
+    private static final int MS_PER_S = 1000;
+
+    /** Reports come a quarter of their interval late at most. */
+    private static final double LATEST_REPORT = 1.25;
+
+    private static final long REPORT_SLACK_MS = 1000;
+
     /** The share of a core that leaves room for the times which this service sets itself. */
     private static final double AMPLE_CORES = 0.3;
 
@@ -53,6 +60,11 @@
      * what time all must hear a stop. 0: nothing is said of them.
      */
     public record Workers(double reportS, double leaseS, double cancelS, double gangWaitS, double gangPeerS) {
+        /** Milliseconds after which every worker that can report has reported. */
+        public long reportRoundMs() {
+            return Math.round(reportS * MS_PER_S * LATEST_REPORT) + REPORT_SLACK_MS;
+        }
+
         /** The times of a deployment without gangs. */
         public Workers(double reportS, double leaseS, double cancelS) {
             this(reportS, leaseS, cancelS, 0, 0);
