--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -26,6 +26,9 @@
     /** The first task of a job that had waited too long runs for so long before it may be stopped. */
     private static final long OVERDUE_RUN_MS = 30_000;
 
+    /** Others may save first if so many saves fit into the time within which the work shall start. */
+    private static final double SAVES_WITHIN_AIM = 2;
+
     /** The share of its time to start that a gang waits for free room before others are stopped for it. */
     private static final double GANG_PATIENCE = 0.25;
 
@@ -238,11 +241,12 @@
 
     /** Saving takes time; work that has to start within a few seconds can't wait for it. */
     private boolean hurry(Job job, Claim victim) {
-        if (job.spec.priority() == JobSpec.Priority.CRITICAL) {
+        double saves = SAVES_WITHIN_AIM * victim.job.spec.saveS();
+        if (job.spec.priority() == JobSpec.Priority.CRITICAL || job.spec.gang() && placement.startAim(job) < saves) {
             return true;
         }
         for (Settings.Objective aim : board.settings.objectives()) {
-            if (job.withinGuarantee && aim.kind().equals("guarantee") && aim.withinS() < 2 * victim.job.spec.saveS()) {
+            if (job.withinGuarantee && aim.kind().equals("guarantee") && aim.withinS() < saves) {
                 return true;
             }
         }
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -250,6 +250,39 @@
         assertEquals(List.of(critical, normal), started);
     }
 
+    /** Found on an incident: gangs with 5 s to start waited for others to save for 5 s, and then fetched their image. */
+    @Test
+    void aGangThatIsToStartSoonDoesNotWaitForOthersToSave() {
+        JobSpec saving = new JobSpec(
+                "job-" + ++jobs,
+                "any",
+                "blue",
+                JobSpec.Kind.ARRAY,
+                JobSpec.Priority.IDLE,
+                1,
+                8,
+                0,
+                1,
+                "img",
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                60,
+                20,
+                0.3,
+                -1);
+        Job idle = new Job(saving, jobs, 0, 0);
+        idle.accepted = true;
+        board.jobs.put(saving.id(), idle);
+        run(idle, 10_000);
+        urgentGangInOneZone(2);
+        assertEquals(
+                List.of(0.0), decide().stream().map(Preemption.Stop::graceS).toList(), "0.5 s to start, 0.3 s to save");
+    }
+
     /** Found on the bench: gangs with 15 s to start waited 15 s, a boot time, before idle work was stopped for them. */
     @Test
     void aGangThatIsToStartSoonDoesNotWaitForAMachineToBoot() {
