--- a/src/main/java/stileferry/coordination/TaskLifecycle.java
+++ b/src/main/java/stileferry/coordination/TaskLifecycle.java
@@ -11,8 +11,8 @@
 import stileferry.storage.Ledger;
 
 /**
- * The life of tasks in one term, from their claim over start and stop to the proof that they are gone. A gang's tasks live
- * and end together.
+ * The life of tasks in one term, from their claim over start and stop to the proof that they are gone. A gang's tasks
+ * live and end together.
  */
 final class TaskLifecycle implements Fleet.Events {
     private static final Logger LOG = LoggerFactory.getLogger("leader");
--- a/src/test/java/stileferry/coordination/PreemptionTest.java
+++ b/src/test/java/stileferry/coordination/PreemptionTest.java
@@ -250,7 +250,7 @@
         assertEquals(List.of(critical, normal), started);
     }
 
-    /** Found on an incident: gangs with 5 s to start waited while others saved for 5 s, and fetched their image then. */
+    /** Found on an incident: gangs with 5 s to start waited while others saved for 5 s, and only then fetched. */
     @Test
     void aGangThatIsToStartSoonDoesNotWaitForOthersToSave() {
         JobSpec saving = new JobSpec(
