--- a/src/test/java/stileferry/coordination/ScaleTest.java
+++ b/src/test/java/stileferry/coordination/ScaleTest.java
@@ -18,7 +18,7 @@
 class ScaleTest {
     private static final long NOW = 100_000;
 
-    private static Board board(int machines, SplittableRandom r) {
+    private static ClusterState cluster(int machines, SplittableRandom r) {
         Settings settings = new Settings(
                 "n0",
                 "za",
@@ -36,18 +36,18 @@
                 1,
                 100,
                 5);
-        Board board = new Board(settings);
-        board.types = List.of(
+        ClusterState cluster = new ClusterState(settings);
+        cluster.types = List.of(
                 new MachineType("small", 8, 0, 32, 9, 0.3, 1, 0.4, 10, List.of("za", "zb")),
                 new MachineType("large", 16, 0, 64, 9, 0.3, 2, 0.8, 10, List.of("za", "zb")));
         for (int i = 0; i < machines; i++) {
-            Machine m = board.machine(String.format("host-%06d", r.nextInt(1_000_000)));
-            m.type = board.types.get(r.nextInt(2));
+            Machine m = cluster.machine(String.format("host-%06d", r.nextInt(1_000_000)));
+            m.type = cluster.types.get(r.nextInt(2));
             m.typeName = m.type.name();
             m.spot = r.nextBoolean();
             m.heard = true;
             m.heardAt = NOW;
-            board.setZone(m, r.nextBoolean() ? "za" : "zb");
+            cluster.setZone(m, r.nextBoolean() ? "za" : "zb");
             for (int n = r.nextInt(3); n > 0; n--) {
                 m.holds("img" + r.nextInt(5), 2);
             }
@@ -55,12 +55,12 @@
                 m.finished(10, r.nextInt(120), 60);
             }
             m.faulty = r.nextInt(40) == 0;
-            board.rooms.update(m);
+            cluster.rooms.update(m);
         }
-        return board;
+        return cluster;
     }
 
-    private static Job job(Board board, int number, SplittableRandom r) {
+    private static Job job(ClusterState cluster, int number, SplittableRandom r) {
         boolean service = r.nextInt(4) == 0;
         Job job = new Job(
                 new JobSpec(
@@ -88,14 +88,14 @@
                 NOW,
                 0);
         job.accepted = true;
-        board.jobs.put(job.spec.id(), job);
+        cluster.jobs.put(job.spec.id(), job);
         return job;
     }
 
     /** The design's choice, by looking at every machine in the order of names. */
-    private static Machine plainChoice(Board board, Placement placement, Job job) {
+    private static Machine plainChoice(ClusterState cluster, Placement placement, Job job) {
         Machine best = null;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             double cpus = job.spec.cpus();
             double memory = job.spec.memoryGb();
             for (Claim c : m.claims.values()) {
@@ -113,7 +113,7 @@
     }
 
     /** The order of the queue by the words of the design: the head if it fits, else the lowest rank times position. */
-    private static List<String> plainPass(Board board, Placement placement) {
+    private static List<String> plainPass(ClusterState cluster, Placement placement) {
         List<String> starts = new ArrayList<>();
         placement.markGuaranteed();
         while (true) {
@@ -122,7 +122,7 @@
             double lowest = Double.MAX_VALUE;
             for (int i = 0; i < queue.size(); i++) {
                 double value = i == 0 ? -1 : placement.rank(queue.get(i)) * (i + 1);
-                if (value < lowest && plainChoice(board, placement, queue.get(i)) != null) {
+                if (value < lowest && plainChoice(cluster, placement, queue.get(i)) != null) {
                     lowest = value;
                     pick = queue.get(i);
                 }
@@ -130,13 +130,13 @@
             if (pick == null) {
                 return starts;
             }
-            starts.add(claim(board, pick, plainChoice(board, placement, pick)));
+            starts.add(claim(cluster, pick, plainChoice(cluster, placement, pick)));
         }
     }
 
-    private static String claim(Board board, Job job, Machine machine) {
+    private static String claim(ClusterState cluster, Job job, Machine machine) {
         Claim claim = new Claim(job, job.taken.nextClearBit(0), 1, machine.name, 1, NOW);
-        board.add(claim);
+        cluster.add(claim);
         return claim.name + " on " + machine.name;
     }
 
@@ -145,8 +145,8 @@
     void theFastPassDecidesAsThePlainOne(long seed) {
         SplittableRandom a = new SplittableRandom(seed);
         SplittableRandom b = new SplittableRandom(seed);
-        Board fast = board(12, a);
-        Board plain = board(12, b);
+        ClusterState fast = cluster(12, a);
+        ClusterState plain = cluster(12, b);
         int started = 0;
         for (int round = 0; round < 4; round++) {
             for (int i = 0; i < 8; i++) {
@@ -157,12 +157,12 @@
             new Placement(fast).pass(NOW, NOW, false, (job, machines) -> starts.add(claim(fast, job, machines.get(0))));
             assertEquals(plainPass(plain, new Placement(plain)), starts);
             started += starts.size();
-            for (Board board : List.of(fast, plain)) { // every third task ends
+            for (ClusterState cluster : List.of(fast, plain)) { // every third task ends
                 SplittableRandom r = new SplittableRandom(seed + round);
-                for (Job job : board.jobs.values()) {
+                for (Job job : cluster.jobs.values()) {
                     for (Claim c : List.copyOf(job.claims.values())) {
                         if (r.nextInt(3) == 0) {
-                            board.remove(c, true);
+                            cluster.remove(c, true);
                         }
                     }
                 }
@@ -175,32 +175,33 @@
     @Test
     void aPassOverAFullFleetLooksAtFewMachines() {
         SplittableRandom r = new SplittableRandom(1);
-        Board board = board(1450, r);
-        Placement placement = new Placement(board);
+        ClusterState cluster = cluster(1450, r);
+        Placement placement = new Placement(cluster);
         for (int i = 0; i < 8000; i++) {
-            job(board, i, r);
+            job(cluster, i, r);
         }
         int passes = 0;
         do {
-            placement.pass(NOW, NOW, false, (job, machines) -> claim(board, job, machines.get(0)));
+            placement.pass(NOW, NOW, false, (job, machines) -> claim(cluster, job, machines.get(0)));
             passes++;
         } while (placement.cutShort());
-        int tasks =
-                board.machines.values().stream().mapToInt(m -> m.claims.size()).sum();
+        int tasks = cluster.machines.values().stream()
+                .mapToInt(m -> m.claims.size())
+                .sum();
         assertTrue(tasks > 5000 && passes > 10, tasks + " tasks in " + passes + " passes");
-        Machine freed = board.machines.values().stream()
+        Machine freed = cluster.machines.values().stream()
                 .filter(m -> m.claims.size() > 2 && m.usable())
                 .findFirst()
                 .orElseThrow();
-        board.remove(freed.claims.values().iterator().next(), true);
+        cluster.remove(freed.claims.values().iterator().next(), true);
         long waiting = placement.queue(NOW, NOW).size();
-        long before = board.rooms.looks();
+        long before = cluster.rooms.looks();
         List<Machine> started = new ArrayList<>();
         placement.pass(NOW, NOW, false, (job, machines) -> {
             started.add(machines.get(0));
-            claim(board, job, machines.get(0));
+            claim(cluster, job, machines.get(0));
         });
-        long looks = board.rooms.looks() - before;
+        long looks = cluster.rooms.looks() - before;
         assertTrue(!started.isEmpty(), "the room that came free is used");
         assertSame(freed, started.get(0));
         assertTrue(
@@ -215,9 +216,9 @@
     @Test
     void anImageIsFetchedWhereNoOtherIs() {
         SplittableRandom r = new SplittableRandom(3);
-        Board board = board(60, r);
-        board.machines.values().forEach(m -> m.faulty = false);
-        Placement placement = new Placement(board);
+        ClusterState cluster = cluster(60, r);
+        cluster.machines.values().forEach(m -> m.faulty = false);
+        Placement placement = new Placement(cluster);
         int most = 0;
         for (int i = 0; i < 30; i++) {
             JobSpec spec = new JobSpec(
@@ -243,10 +244,10 @@
                     -1);
             Job job = new Job(spec, i, NOW, 0);
             job.accepted = true;
-            board.jobs.put(spec.id(), job);
+            cluster.jobs.put(spec.id(), job);
         }
-        placement.pass(NOW, NOW, false, (job, machines) -> claim(board, job, machines.get(0)));
-        for (Machine m : board.machines.values()) {
+        placement.pass(NOW, NOW, false, (job, machines) -> claim(cluster, job, machines.get(0)));
+        for (Machine m : cluster.machines.values()) {
             most = Math.max(most, m.fetching());
         }
         assertEquals(1, most, "images fetched at once on one machine, though others are idle");
@@ -255,8 +256,8 @@
     /** Guards against a new leader in a cut that opens a connection to every machine that can't answer. */
     @Test
     void questionsToMachinesThatHangLeaveSocketsForCommands() {
-        Board board = board(2000, new SplittableRandom(1));
-        board.machines.values().forEach(m -> {
+        ClusterState cluster = cluster(2000, new SplittableRandom(1));
+        cluster.machines.values().forEach(m -> {
             m.heard = false;
             m.addr = "10.0.0.1:" + m.name.substring(m.name.length() - 4);
         });
@@ -271,10 +272,10 @@
         };
         World.Node node = w.nodes.get("n0");
         node.start();
-        Fleet fleet = new Fleet(board, node.outside, null, 1, null, null, new Lateness(node.outside, 1));
+        Fleet fleet = new Fleet(cluster, node.environment, null, 1, null, null, new EventLoopLag(node.environment, 1));
         fleet.commands().announceTerm();
         w.play(20);
-        int commands = board.settings.sockets().commands();
+        int commands = cluster.settings.sockets().commands();
         assertTrue(most[0] <= commands / 2, most[0] + " questions at once, " + commands + " sockets for commands");
         assertTrue(asked[0] > 10 * most[0], "only " + asked[0] + " were asked");
     }
--- a/src/test/java/stileferry/coordination/TaskEventsTest.java
+++ b/src/test/java/stileferry/coordination/TaskEventsTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import stileferry.protocol.JobSpec;
-import stileferry.protocol.Wire;
+import stileferry.protocol.MessageCodec;
 import stileferry.storage.EventLog;
 import stileferry.storage.Ledger;
 
@@ -67,7 +67,7 @@
         assertTrue(
                 value.toString().length() < VALUE_KB * 1024,
                 "a record of " + value.toString().length());
-        store.put(batch.put().key(), Wire.decode(Wire.encode(value)));
+        store.put(batch.put().key(), MessageCodec.decode(MessageCodec.encode(value)));
         batch.deletions().forEach(e -> store.remove(e.key()));
     }
 
@@ -140,7 +140,8 @@
                     if (!last.endsGivenUp()) { // else it waits until the one before is durable
                         store.put(
                                 last.put().key(),
-                                Wire.decode(Wire.encode(last.put().value())));
+                                MessageCodec.decode(
+                                        MessageCodec.encode(last.put().value())));
                     }
                 }
                 TaskEvents.Reader reader = read(store, copy, next);
@@ -204,7 +205,7 @@
                 assertTrue(
                         value.toString().length() < (small ? 2 : 16) * 1024,
                         "a record of " + value.toString().length());
-                store.put(batch.put().key(), Wire.decode(Wire.encode(value)));
+                store.put(batch.put().key(), MessageCodec.decode(MessageCodec.encode(value)));
                 batch.deletions().forEach(e -> store.remove(e.key()));
                 Map<String, Job> copy = jobs(8, 60);
                 Map<String, Long> told = attempts(read(store, copy, null).claims());
@@ -265,7 +266,7 @@
         Map<String, Job> jobs = jobs(1, 200);
         Job job = jobs.get("job-0");
         job.chunkTasks = 128;
-        ObjectNode part = Wire.map().put("done", "0184"); // tasks 0, 10 and 15 of this part
+        ObjectNode part = MessageCodec.map().put("done", "0184"); // tasks 0, 10 and 15 of this part
         ArrayNode claims = part.putArray("claims");
         for (int i = 16; i < 60; i++) {
             claims.addArray().add(128 + i).add(7L << 32).add("host-000001").add(3);
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -13,12 +13,12 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
-import stileferry.protocol.Outside;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Settings;
 import stileferry.protocol.SettingsReader;
-import stileferry.protocol.Wire;
 import stileferry.standin.Cloud;
 import stileferry.standin.Gangs;
 import stileferry.standin.StateService;
@@ -159,20 +159,20 @@
     final class Node {
         final Settings settings;
         Coordinator coordinator;
-        SimOutside outside;
+        SimulatedEnvironment environment;
 
         Node(Settings settings) {
             this.settings = settings;
         }
 
         void start() {
-            outside = new SimOutside(this);
-            coordinator = new Coordinator(settings, outside);
-            outside.turn(coordinator::start);
+            environment = new SimulatedEnvironment(this);
+            coordinator = new Coordinator(settings, environment);
+            environment.turn(coordinator::start);
         }
 
         void crash() {
-            outside.dead = true;
+            environment.dead = true;
             coordinator = null;
         }
 
@@ -376,17 +376,17 @@
             String to,
             long timeoutMs,
             boolean connects,
-            Consumer<Outside.Reply> serve,
-            Outside.Reply reply) {
+            Consumer<Environment.Reply> serve,
+            Environment.Reply reply) {
         boolean[] over = new boolean[1];
         if (!connects) {
-            after(2, () -> reply.done(Outside.NOT_SENT, null));
+            after(2, () -> reply.done(Environment.NOT_SENT, null));
             return;
         }
         after(timeoutMs, () -> {
             if (!over[0]) {
                 over[0] = true;
-                reply.done(Outside.NO_ANSWER, null);
+                reply.done(Environment.NO_ANSWER, null);
             }
         });
         deliver(
@@ -406,7 +406,7 @@
     }
 
     /** What one controller sees of the simulated world. */
-    final class SimOutside implements Outside {
+    final class SimulatedEnvironment implements Environment {
         final Node node;
         final long shift = random.nextLong(1_000_000);
         final long clockOff = random.nextLong(-20, 21);
@@ -415,7 +415,7 @@
 
         private long busyUntil;
 
-        SimOutside(Node node) {
+        SimulatedEnvironment(Node node) {
             this.node = node;
         }
 
@@ -466,9 +466,9 @@
         @Override
         public void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply) {
             String me = node.settings.node();
-            JsonNode copy = body == null ? null : Wire.decode(Wire.encode(body));
-            Reply mine = (status, answer) ->
-                    turn(() -> reply.done(status, answer == null ? null : Wire.decode(Wire.encode(answer))));
+            JsonNode copy = body == null ? null : MessageCodec.decode(MessageCodec.encode(body));
+            Reply mine = (status, answer) -> turn(
+                    () -> reply.done(status, answer == null ? null : MessageCodec.decode(MessageCodec.encode(answer))));
             if (addr.equals(STATE)) {
                 exchange(
                         me,
@@ -543,7 +543,7 @@
                     r -> {
                         if (other.up()) {
                             boolean former = formerForm.contains(me) || formerForm.contains(peer.node());
-                            other.outside.turn(() -> other.coordinator.peer(carried(record, former), a -> {
+                            other.environment.turn(() -> other.coordinator.peer(carried(record, former), a -> {
                                 answer[0] = carried(a, former);
                                 r.done(200, null);
                             }));
@@ -596,7 +596,7 @@
         long sentAt = now;
         long session = w.session();
         w.takeChanged();
-        JsonNode report = Wire.decode(Wire.encode(w.report()));
+        JsonNode report = MessageCodec.decode(MessageCodec.encode(w.report()));
         if (copiesKeptFrom != null && random.nextInt(4) == 0) {
             keptCopies.add(report);
         }
@@ -612,11 +612,12 @@
                 node.up() && !mute.contains(w.addr()) && heldUntil(w.addr(), to) <= now,
                 r -> {
                     if (node.up()) {
-                        node.outside.turn(() -> node.coordinator.report(Wire.encode(report), (status, bytes) -> {
-                            JsonNode answer = Wire.decode(bytes);
-                            stored.checkStarts(answer, violations);
-                            r.done(status, answer);
-                        }));
+                        node.environment.turn(
+                                () -> node.coordinator.report(MessageCodec.encode(report), (status, bytes) -> {
+                                    JsonNode answer = MessageCodec.decode(bytes);
+                                    stored.checkStarts(answer, violations);
+                                    r.done(status, answer);
+                                }));
                     }
                 },
                 (status, body) -> {
@@ -624,7 +625,7 @@
                         return;
                     }
                     if (status == 200) {
-                        w.answered(Wire.decode(Wire.encode(body)), session, sentAt);
+                        w.answered(MessageCodec.decode(MessageCodec.encode(body)), session, sentAt);
                         waitForReport(w, to, now + reportMs * 3 / 4 + random.nextLong(reportMs / 2), now + 500);
                     } else if (status == 421
                             && nodes.containsKey(body.path("harbormaster").asText())) {
@@ -641,7 +642,7 @@
     /** A copy of a report; nobody waits for its answer. */
     void copy(JsonNode report, Node to) {
         if (to.up()) {
-            to.outside.turn(() -> to.coordinator.report(Wire.encode(report), (status, body) -> {}));
+            to.environment.turn(() -> to.coordinator.report(MessageCodec.encode(report), (status, body) -> {}));
         }
     }
 
@@ -747,7 +748,7 @@
     }
 
     private void ask(User user, PeerRecord.Ask ask, long until, Node node) {
-        byte[] body = ask == PeerRecord.Ask.SUBMIT ? Wire.encode(user.spec.write()) : new byte[0];
+        byte[] body = ask == PeerRecord.Ask.SUBMIT ? MessageCodec.encode(user.spec.write()) : new byte[0];
         PeerRecord.Answer[] answer = new PeerRecord.Answer[1];
         long asked = now;
         exchange(
@@ -758,7 +759,7 @@
                 r -> {
                     if (node.up()) {
                         long since = now;
-                        node.outside.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
+                        node.environment.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
                             if (a.status() == 503 && (a.retryAfterS() < 1 || now - since > 4500)) {
                                 violations.add("held back: " + ask + " for " + (now - since) + " ms, come back in "
                                         + a.retryAfterS() + " s");
@@ -771,7 +772,7 @@
                 (status, none) -> {
                     boolean isFinal = status == 200 || status == 201 || status == 404 || status == 400 || status == 422;
                     if (isFinal) {
-                        told(user, ask, asked, status, Wire.decode(answer[0].body()));
+                        told(user, ask, asked, status, MessageCodec.decode(answer[0].body()));
                     } else if (now < until) {
                         after(1000, () -> ask(user, ask, until));
                     }
--- a/src/test/java/stileferry/protocol/MessagesTest.java
+++ b/src/test/java/stileferry/protocol/MessagesTest.java
@@ -44,7 +44,7 @@
 
     @Test
     void aJobIsReadAsItWasWritten() throws JobSpec.Malformed {
-        JobSpec read = JobSpec.read(Wire.decode(Wire.encode(good())));
+        JobSpec read = JobSpec.read(MessageCodec.decode(MessageCodec.encode(good())));
         assertEquals(good(), read.write());
         ObjectNode open = good();
         open.putNull("hulls").putNull("moor_by_s").put("another", 1);
@@ -106,15 +106,18 @@
     @Test
     void noiseIsRefusedQuietly() {
         SplittableRandom random = new SplittableRandom(4);
-        byte[] report = Wire.encode(
-                Wire.map().put("vessel", "v").put("voyage", 1).put("log_seq", 1).put("helm", 1));
+        byte[] report = MessageCodec.encode(MessageCodec.map()
+                .put("vessel", "v")
+                .put("voyage", 1)
+                .put("log_seq", 1)
+                .put("helm", 1));
         byte[] record = PeerRecord.write(new PeerRecord.Forward(PeerRecord.Ask.SUBMIT, "job-1", report));
         int refused = 0;
         for (int i = 0; i < 5000; i++) {
             byte[] bytes = (random.nextBoolean() ? report : record).clone();
             bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
             byte[] cut = Arrays.copyOf(bytes, random.nextInt(bytes.length + 1));
-            refused += Report.read(Wire.decode(cut)) == null && PeerRecord.read(cut) == null ? 1 : 0;
+            refused += Report.read(MessageCodec.decode(cut)) == null && PeerRecord.read(cut) == null ? 1 : 0;
         }
         assertEquals(true, refused > 2500, "too much noise was understood: " + refused);
     }
@@ -152,7 +155,7 @@
     }
 
     private static byte[] report(long seq, String state, boolean tasksLast) {
-        ObjectNode n = Wire.map().put("vessel", "m").put("voyage", 1).put("helm", 3);
+        ObjectNode n = MessageCodec.map().put("vessel", "m").put("voyage", 1).put("helm", 3);
         if (tasksLast) {
             n.put("log_seq", seq);
         }
@@ -161,7 +164,7 @@
                 .put("passenger", "job-1/0")
                 .put("launch", 7)
                 .put("tide", state);
-        return Wire.encode(tasksLast ? n : n.put("log_seq", seq));
+        return MessageCodec.encode(tasksLast ? n : n.put("log_seq", seq));
     }
 
     /** Reading the same tasks again was a good part of what a leader of many machines did. */
@@ -185,9 +188,9 @@
     /** A body nested without end would exhaust the stack of the one thread. */
     @Test
     void whatIsNestedTooDeepIsMalformed() {
-        byte[] deep = new byte[Wire.MAX_BODY];
+        byte[] deep = new byte[MessageCodec.MAX_BODY];
         Arrays.fill(deep, (byte) 0x91);
-        assertNull(Wire.decode(deep));
+        assertNull(MessageCodec.decode(deep));
         assertNull(Report.read(deep));
     }
 }
