--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -195,7 +195,7 @@
         consentedAt = environment.now();
     }
 
-    /** When this process last let another one answer reports without a leader; since its start it has not done so after that. */
+    /** When this process last let another one answer reports without a leader; it has not done so since. */
     long consentedAt() {
         return consentedAt;
     }
--- a/src/main/java/stileferry/coordination/SilenceRecords.java
+++ b/src/main/java/stileferry/coordination/SilenceRecords.java
@@ -17,9 +17,9 @@
  * answered, it is durable that the note no longer holds; so whoever reads a note that stands knows that its writer
  * renewed nothing since.
  *
- * <p>Only the very next leader may go by a note: every leader notes for itself what it knows. Leaderless renewal answers
- * without a look at notes, but only with the consent of every controller's process, so a process remembers when it last
- * consented, or that it did not live yet.
+ * <p>Only the very next leader may go by a note: every leader notes for itself what it knows. Leaderless renewal
+ * answers without a look at notes, but only with the consent of every controller's process, so a process remembers when
+ * it last consented, or that it did not live yet.
  */
 final class SilenceRecords {
     private static final Logger LOG = LoggerFactory.getLogger("fleet");
