--- a/src/main/java/stileferry/cli/AdminCommand.java
+++ b/src/main/java/stileferry/cli/AdminCommand.java
@@ -21,8 +21,8 @@
         name = "admin",
         description = "Reads and changes the operators' settings, and shows what the leader knows.",
         mixinStandardHelpOptions = true,
-        subcommands = {AdminCommand.Get.class, AdminCommand.Set.class, AdminCommand.Reset.class,
-            AdminCommand.Show.class})
+        subcommands = {AdminCommand.Get.class, AdminCommand.Set.class, AdminCommand.Reset.class, AdminCommand.Show.class
+        })
 final class AdminCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -33,12 +33,20 @@
     }
 
     private static String settings(JsonNode body) {
-        StringBuilder text = new StringBuilder("revision " + body.path("revision").asLong());
+        StringBuilder text =
+                new StringBuilder("revision " + body.path("revision").asLong());
         for (JsonNode s : body.path("settings")) {
-            text.append(System.lineSeparator()).append(String.format("%-20s %-8s (default %s", s.path("name").asText(),
-                    s.path("value").asText(), s.path("default").asText()));
+            text.append(System.lineSeparator())
+                    .append(String.format(
+                            "%-20s %-8s (default %s",
+                            s.path("name").asText(),
+                            s.path("value").asText(),
+                            s.path("default").asText()));
             if (s.has("least")) {
-                text.append(", ").append(s.path("least").asText()).append(" to ").append(s.path("most").asText());
+                text.append(", ")
+                        .append(s.path("least").asText())
+                        .append(" to ")
+                        .append(s.path("most").asText());
             } else if (s.has("choices")) {
                 text.append(", ").append(s.path("choices"));
             }
@@ -48,8 +56,11 @@
     }
 
     /** Shows the settings. */
-    @Command(name = "get", description = "Shows the settings, with defaults, limits and revision.",
-            mixinStandardHelpOptions = true, footer = {"", "Example: stileferry admin get --node 127.0.0.1:7701"})
+    @Command(
+            name = "get",
+            description = "Shows the settings, with defaults, limits and revision.",
+            mixinStandardHelpOptions = true,
+            footer = {"", "Example: stileferry admin get --node 127.0.0.1:7701"})
     static final class Get implements Callable<Integer> {
         @Mixin
         private Connection connection;
@@ -61,7 +72,10 @@
     }
 
     /** Changes settings. */
-    @Command(name = "set", description = "Changes settings, all of them or none.", mixinStandardHelpOptions = true,
+    @Command(
+            name = "set",
+            description = "Changes settings, all of them or none.",
+            mixinStandardHelpOptions = true,
             footer = {"", "Example: stileferry admin set --node 127.0.0.1:7701 --revision 0 idle_boots=4"})
     static final class Set implements Callable<Integer> {
         @Mixin
@@ -93,7 +107,9 @@
     }
 
     /** Resets settings. */
-    @Command(name = "reset", description = "Puts settings back to their defaults; all if none is named.",
+    @Command(
+            name = "reset",
+            description = "Puts settings back to their defaults; all if none is named.",
             mixinStandardHelpOptions = true,
             footer = {"", "Example: stileferry admin reset --node 127.0.0.1:7701 --revision 1 idle_boots"})
     static final class Reset implements Callable<Integer> {
@@ -117,12 +133,20 @@
     }
 
     /** Shows a view. */
-    @Command(name = "show", description = "Shows leader, machines, queue, teams or counters, as JSON.",
+    @Command(
+            name = "show",
+            description = "Shows leader, machines, queue, teams or counters, as JSON.",
             mixinStandardHelpOptions = true,
             footer = {"", "Example: stileferry admin show --node 127.0.0.1:7701 queue"})
     static final class Show implements Callable<Integer> {
         /** What can be shown. */
-        enum View { LEADER, MACHINES, QUEUE, TEAMS, COUNTERS }
+        enum View {
+            LEADER,
+            MACHINES,
+            QUEUE,
+            TEAMS,
+            COUNTERS
+        }
 
         @Mixin
         private Connection connection;
@@ -136,8 +160,8 @@
         @Override
         public Integer call() throws IOException, InterruptedException {
             String path = "/admin/" + view.name().toLowerCase(java.util.Locale.ROOT);
-            return connection.ask("GET", from.isEmpty() ? path : path + "?from=" + from, null,
-                    JsonNode::toPrettyString);
+            return connection.ask(
+                    "GET", from.isEmpty() ? path : path + "?from=" + from, null, JsonNode::toPrettyString);
         }
     }
 }
--- a/src/main/java/stileferry/cli/Connection.java
+++ b/src/main/java/stileferry/cli/Connection.java
@@ -17,14 +17,21 @@
 
     private static final byte[] NOTHING = new byte[0];
 
-    @Option(names = "--node", required = true, split = ",", paramLabel = "ADDR",
+    @Option(
+            names = "--node",
+            required = true,
+            split = ",",
+            paramLabel = "ADDR",
             description = "Client addresses of controllers, such as 127.0.0.1:7701; more than one with commas.")
     private List<String> nodes;
 
     @Option(names = "--json", description = "Print the answer as JSON.")
     private boolean json;
 
-    @Option(names = "--patience", defaultValue = "60", paramLabel = "S",
+    @Option(
+            names = "--patience",
+            defaultValue = "60",
+            paramLabel = "S",
             description = "Seconds for which a request is repeated (default ${DEFAULT-VALUE}).")
     private int patienceS;
 
@@ -33,8 +40,8 @@
             throws IOException, InterruptedException {
         LogLevel.start("error"); // a client's own messages are its errors, one line each
         try (UserClient client = new UserClient(nodes)) {
-            UserClient.Answer answer = client.ask(method, path, body == null ? NOTHING : body,
-                    TimeUnit.SECONDS.toMillis(patienceS));
+            UserClient.Answer answer =
+                    client.ask(method, path, body == null ? NOTHING : body, TimeUnit.SECONDS.toMillis(patienceS));
             return print(answer, text, System.out, System.err);
         }
     }
@@ -45,7 +52,8 @@
             out.println(json ? answer.body().toString() : text.apply(answer.body()));
             return 0;
         }
-        String reason = answer.body() == null ? ""
+        String reason = answer.body() == null
+                ? ""
                 : ": " + answer.body().path("error").asText(answer.body().toString());
         err.println("stileferry: " + (status <= 0 ? "no answer from " + nodes : "refused with " + status + reason));
         return status >= 400 && status < 500 && status != 429 ? REFUSED : FAILED;
--- a/src/main/java/stileferry/cli/Daemon.java
+++ b/src/main/java/stileferry/cli/Daemon.java
@@ -29,11 +29,13 @@
         // The networking library registers with the runtime's management, which nobody asks here and which takes a
         // tenth of a second to set up. It goes on without when there is none.
         System.setProperty("javax.management.builder.initial", "none");
-        Options options = new Options().addOption(Option.builder().longOpt(CONFIG).hasArg().required().get());
+        Options options = new Options()
+                .addOption(Option.builder().longOpt(CONFIG).hasArg().required().get());
         try {
             CommandLine line = new DefaultParser().parse(options, args);
             if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unknown argument: " + line.getArgList().get(0));
+                throw new ParseException(
+                        "unknown argument: " + line.getArgList().get(0));
             }
             return Serve.run(Path.of(line.getOptionValue(CONFIG)));
         } catch (ParseException e) {
--- a/src/main/java/stileferry/cli/JobText.java
+++ b/src/main/java/stileferry/cli/JobText.java
@@ -7,7 +7,8 @@
     private JobText() {}
 
     static String of(JsonNode body) {
-        return body.path("name_id").asText() + " " + body.path("tide").asText() + ", " + body.path("done").asInt()
-                + " tasks done, " + body.path("running").asInt() + " running";
+        return body.path("name_id").asText() + " " + body.path("tide").asText() + ", "
+                + body.path("done").asInt() + " tasks done, "
+                + body.path("running").asInt() + " running";
     }
 }
--- a/src/main/java/stileferry/cli/Main.java
+++ b/src/main/java/stileferry/cli/Main.java
@@ -10,10 +10,17 @@
         description = "A cluster scheduler.",
         mixinStandardHelpOptions = true,
         version = "stileferry 0.1.0",
-        subcommands = {Serve.class, CheckConfig.class, Submit.class, Status.class, Withdraw.class, AdminCommand.class,
-            StandIns.class},
-        footer = {"",
-            "Exit codes: 0 done, 1 failed or no answer, 2 wrong usage or settings, 3 refused by the service."})
+        subcommands = {
+            Serve.class,
+            CheckConfig.class,
+            Submit.class,
+            Status.class,
+            Withdraw.class,
+            AdminCommand.class,
+            StandIns.class
+        },
+        footer = {"", "Exit codes: 0 done, 1 failed or no answer, 2 wrong usage or settings, 3 refused by the service."
+        })
 public final class Main implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/stileferry/cli/Rehearsal.java
+++ b/src/main/java/stileferry/cli/Rehearsal.java
@@ -36,13 +36,16 @@
     private static void play(int port) throws Exception {
         Path dir = Files.createTempDirectory("rehearsal");
         try (StandInHost standIns = StandIns.start(port, dir);
-                Controller first = Controller.builder().settings(
-                        SettingsFile.read(dir.resolve("node-0.json")).settings()).build();
+                Controller first = Controller.builder()
+                        .settings(SettingsFile.read(dir.resolve("node-0.json")).settings())
+                        .build();
                 UserClient user = new UserClient(List.of("127.0.0.1:" + (port + 1), "127.0.0.1:" + (port + 2)))) {
             first.start();
             work(user, 1);
-            Thread second = new Thread(() ->
-                    Daemon.run(new String[] {"--config", dir.resolve("node-1.json").toString()}), "second");
+            Thread second = new Thread(
+                    () -> Daemon.run(
+                            new String[] {"--config", dir.resolve("node-1.json").toString()}),
+                    "second");
             second.setDaemon(true);
             second.start();
             Thread.sleep(500);
@@ -70,8 +73,27 @@
 
     private static void submit(UserClient user, int number, JobSpec.Kind kind, JobSpec.Priority priority)
             throws InterruptedException {
-        JobSpec job = new JobSpec("job-" + number, "any", "blue", kind, priority, 3, 1, 0, 1, "image-" + number, 0.1,
-                null, null, false, kind == JobSpec.Kind.SERVICE, kind != JobSpec.Kind.SERVICE, 0.5, 0, 0, -1);
+        JobSpec job = new JobSpec(
+                "job-" + number,
+                "any",
+                "blue",
+                kind,
+                priority,
+                3,
+                1,
+                0,
+                1,
+                "image-" + number,
+                0.1,
+                null,
+                null,
+                false,
+                kind == JobSpec.Kind.SERVICE,
+                kind != JobSpec.Kind.SERVICE,
+                0.5,
+                0,
+                0,
+                -1);
         user.ask("POST", "/work", Wire.encode(job.write()), 10_000);
     }
 
--- a/src/main/java/stileferry/cli/Serve.java
+++ b/src/main/java/stileferry/cli/Serve.java
@@ -30,7 +30,8 @@
             return 2;
         }
         try {
-            Controller controller = Controller.builder().settings(read.settings()).build();
+            Controller controller =
+                    Controller.builder().settings(read.settings()).build();
             controller.start();
             controller.awaitClosed(); // this thread reads nothing any more, see Node
             return 0;
--- a/src/main/java/stileferry/cli/StandIns.java
+++ b/src/main/java/stileferry/cli/StandIns.java
@@ -23,16 +23,26 @@
     @Option(names = "--dir", required = true, paramLabel = "DIR", description = "Where node-0.json and so on go.")
     private Path dir;
 
-    @Option(names = "--port", defaultValue = "7700", paramLabel = "PORT",
+    @Option(
+            names = "--port",
+            defaultValue = "7700",
+            paramLabel = "PORT",
             description = "The first of seven ports (default ${DEFAULT-VALUE}).")
     private int port;
 
-    @Option(names = "--machines", defaultValue = "8", paramLabel = "N",
+    @Option(
+            names = "--machines",
+            defaultValue = "8",
+            paramLabel = "N",
             description = "Machines that the cloud has (default ${DEFAULT-VALUE}).")
     private int machines;
 
-    @Option(names = "--report-s", defaultValue = "0.5", paramLabel = "S",
-            description = "Seconds between two reports of a worker; a lease is ten times that (default ${DEFAULT-VALUE}).")
+    @Option(
+            names = "--report-s",
+            defaultValue = "0.5",
+            paramLabel = "S",
+            description =
+                    "Seconds between two reports of a worker; a lease is ten times that (default ${DEFAULT-VALUE}).")
     private double reportS;
 
     @Override
@@ -74,9 +84,11 @@
         StringBuilder seeds = new StringBuilder();
         for (int i = 0; i < NODES; i++) {
             if (i != node) {
-                seeds.append(seeds.isEmpty() ? "" : ", ").append("""
+                seeds.append(seeds.isEmpty() ? "" : ", ")
+                        .append(
+                                """
                         {"host_name": "node-%d", "zone": "a", "peer_addr": "127.0.0.1:%d"}"""
-                        .formatted(i, port + 1 + NODES + i));
+                                        .formatted(i, port + 1 + NODES + i));
             }
         }
         return """
@@ -95,9 +107,19 @@
                     "machine_limits": {"max_sockets": %d}
                   }
                 }
-                """.formatted(node, port + 1 + node, port + 1 + NODES + node, seeds, port, port,
-                        size.reportMs() / 1000.0, size.leaseMs() / 1000.0, 2 * size.leaseMs() / 1000.0,
-                        StandInHost.GANG_WAIT_S, StandInHost.GANG_PEER_S,
+                """
+                .formatted(
+                        node,
+                        port + 1 + node,
+                        port + 1 + NODES + node,
+                        seeds,
+                        port,
+                        port,
+                        size.reportMs() / 1000.0,
+                        size.leaseMs() / 1000.0,
+                        2 * size.leaseMs() / 1000.0,
+                        StandInHost.GANG_WAIT_S,
+                        StandInHost.GANG_PEER_S,
                         Math.max(1000, 3 * size.machines()));
     }
 }
--- a/src/main/java/stileferry/cli/Submit.java
+++ b/src/main/java/stileferry/cli/Submit.java
@@ -94,7 +94,27 @@
     }
 
     private JsonNode fromFlags() {
-        return new JobSpec(id, jobClass, team, kind, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone,
-                oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS).write();
+        return new JobSpec(
+                        id,
+                        jobClass,
+                        team,
+                        kind,
+                        priority,
+                        tasks,
+                        cpus,
+                        gpus,
+                        memoryGb,
+                        image,
+                        imageGb,
+                        types,
+                        zone,
+                        oneZone,
+                        spread,
+                        spot,
+                        estimateS,
+                        checkpointS,
+                        saveS,
+                        deadlineS)
+                .write();
     }
 }
--- a/src/main/java/stileferry/coordination/Admin.java
+++ b/src/main/java/stileferry/coordination/Admin.java
@@ -30,7 +30,12 @@
     private Options pending;
 
     /** The row is what the state service holds; the consumer takes up settings once they are durable. */
-    Admin(Board board, Placement placement, Ledger ledger, long revision, Supplier<ObjectNode> leader,
+    Admin(
+            Board board,
+            Placement placement,
+            Ledger ledger,
+            long revision,
+            Supplier<ObjectNode> leader,
             Consumer<Options> taken) {
         this.board = board;
         this.placement = placement;
@@ -42,7 +47,13 @@
     }
 
     /** Answers a request; the path has no prefix, the method is GET or POST. */
-    void request(String method, String path, String from, byte[] bytes, long now, long timeOfDay,
+    void request(
+            String method,
+            String path,
+            String from,
+            byte[] bytes,
+            long now,
+            long timeOfDay,
             Consumer<PeerRecord.Answer> reply) {
         boolean get = method.equals("GET");
         switch (path) {
@@ -109,11 +120,24 @@
                 more = true;
                 break;
             }
-            String state = m.deleting ? "returning" : !m.heard ? "not heard" : m.faulty ? "faulty"
-                    : m.noticeS >= 0 ? "leaving" : m.draining ? "emptying" : m.strays ? "killing strays" : "in use";
-            ObjectNode o = list.addObject().put("name", m.name).put("type", m.typeName).put("zone", m.zone)
-                    .put("spot", m.spot).put("state", state).put("session", m.session)
-                    .put("heard_s", m.heard ? (now - m.heardAt) / 1000.0 : -1).put("slowdown", m.slowdown())
+            String state = m.deleting
+                    ? "returning"
+                    : !m.heard
+                            ? "not heard"
+                            : m.faulty
+                                    ? "faulty"
+                                    : m.noticeS >= 0
+                                            ? "leaving"
+                                            : m.draining ? "emptying" : m.strays ? "killing strays" : "in use";
+            ObjectNode o = list.addObject()
+                    .put("name", m.name)
+                    .put("type", m.typeName)
+                    .put("zone", m.zone)
+                    .put("spot", m.spot)
+                    .put("state", state)
+                    .put("session", m.session)
+                    .put("heard_s", m.heard ? (now - m.heardAt) / 1000.0 : -1)
+                    .put("slowdown", m.slowdown())
                     .put("cpus_in_use", m.usedCpus());
             ArrayNode tasks = o.putArray("tasks");
             m.claims.values().forEach(c -> tasks.add(c.name));
@@ -138,11 +162,16 @@
                 more = true;
                 break;
             }
-            ObjectNode o = list.addObject().put("position", position).put("id", job.spec.id())
-                    .put("class", job.spec.jobClass()).put("team", job.spec.team())
+            ObjectNode o = list.addObject()
+                    .put("position", position)
+                    .put("id", job.spec.id())
+                    .put("class", job.spec.jobClass())
+                    .put("team", job.spec.team())
                     .put("priority", job.spec.priority().name().toLowerCase(java.util.Locale.ROOT))
-                    .put("within_guarantee", job.withinGuarantee).put("rank", placement.rank(job))
-                    .put("waiting", job.waitingCount()).put("why", placement.whyWaiting(job, now));
+                    .put("within_guarantee", job.withinGuarantee)
+                    .put("rank", placement.rank(job))
+                    .put("waiting", job.waitingCount())
+                    .put("why", placement.whyWaiting(job, now));
             bytes += o.toString().length();
         }
         return answer.put("more", more);
@@ -153,9 +182,13 @@
         ArrayNode list = answer.putArray("teams");
         List<JobSpec.Priority> priorities = List.of(JobSpec.Priority.values());
         for (Settings.Team team : board.settings.teams()) {
-            ObjectNode o = list.addObject().put("name", team.name()).put("cpus", team.cpus())
-                    .put("cpus_max", team.cpusMax()).put("cpus_in_use", board.cpusOf(team.name()))
-                    .put("gpus", team.gpus()).put("gpus_max", team.gpusMax())
+            ObjectNode o = list.addObject()
+                    .put("name", team.name())
+                    .put("cpus", team.cpus())
+                    .put("cpus_max", team.cpusMax())
+                    .put("cpus_in_use", board.cpusOf(team.name()))
+                    .put("gpus", team.gpus())
+                    .put("gpus_max", team.gpusMax())
                     .put("gpus_in_use", board.gpusOf(team.name()));
             int[] waiting = new int[priorities.size()];
             for (Job job : board.jobs.values()) {
--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/Board.java
@@ -161,13 +161,14 @@
         Settings.Team team = settings.team(job.spec.team());
         return team == null
                 || (team.cpusMax() == 0 || cpusOf(team.name()) + job.spec.cpus() <= team.cpusMax() + EPSILON)
-                && (team.gpusMax() == 0 || gpusOf(team.name()) + job.spec.gpus() <= team.gpusMax() + EPSILON);
+                        && (team.gpusMax() == 0 || gpusOf(team.name()) + job.spec.gpus() <= team.gpusMax() + EPSILON);
     }
 
     /** Whether the team runs more than its guarantee, even after giving back so much. */
     boolean beyondGuarantee(String name, double givenBackCpus, double givenBackGpus) {
         Settings.Team team = settings.team(name);
-        return team != null && (cpusOf(name) - givenBackCpus > team.cpus() + EPSILON
-                || gpusOf(name) - givenBackGpus > team.gpus() + EPSILON);
+        return team != null
+                && (cpusOf(name) - givenBackCpus > team.cpus() + EPSILON
+                        || gpusOf(name) - givenBackGpus > team.gpus() + EPSILON);
     }
 }
--- a/src/main/java/stileferry/coordination/Cancellations.java
+++ b/src/main/java/stileferry/coordination/Cancellations.java
@@ -41,6 +41,7 @@
 
     /** Jobs whose cancellation is durable and whose tasks may be on machines, with what waits for others to know. */
     private final Map<String, Confirmation> standing = new LinkedHashMap<>();
+
     private boolean complete;
 
     /** What was heard from another controller, in this node's term where it leads. */
@@ -50,6 +51,7 @@
 
         /** In this term: it answered, and with which form of record. */
         boolean answered;
+
         boolean tells;
 
         /** When it was asked last of all times at which it answered, informed, that it knows of no higher term. */
@@ -72,7 +74,8 @@
         for (int i = 0; i < peers.length; i++) {
             peers[i] = new Peer();
         }
-        this.rememberedMs = Math.round(1000 * REMEMBERED
+        this.rememberedMs = Math.round(1000
+                * REMEMBERED
                 * (settings.workers().cancelS() + settings.workers().leaseS()));
     }
 
@@ -94,7 +97,9 @@
         List<Signal> stops = new ArrayList<>();
         for (Report.TaskState t : report.tasks()) {
             int slash = t.task().indexOf('/');
-            if (t.stage() != Report.Stage.EXITED && slash > 0 && known.containsKey(t.task().substring(0, slash))) {
+            if (t.stage() != Report.Stage.EXITED
+                    && slash > 0
+                    && known.containsKey(t.task().substring(0, slash))) {
                 stops.add(new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0));
             }
         }
@@ -126,7 +131,8 @@
         if (others == 0) {
             return outside.now();
         }
-        long[] affirmed = Arrays.stream(peers).mapToLong(p -> p.affirmedAt).sorted().toArray();
+        long[] affirmed =
+                Arrays.stream(peers).mapToLong(p -> p.affirmedAt).sorted().toArray();
         return affirmed[affirmed.length - others];
     }
 
@@ -209,7 +215,8 @@
             }
         });
         for (String id : standing.keySet()) {
-            if (ids.size() < PeerRecord.MOST_CANCELLED && standing.get(id).toldTo.contains(peer)) {
+            if (ids.size() < PeerRecord.MOST_CANCELLED
+                    && standing.get(id).toldTo.contains(peer)) {
                 ids.add(id);
             }
         }
@@ -218,10 +225,15 @@
 
     /** The answer to what another controller said. */
     PeerRecord.Knowledge answer(PeerRecord.Term heard) {
-        boolean leader = heard.leading() && heard.knowledge() != null && heard.knowledge().complete();
+        boolean leader = heard.leading()
+                && heard.knowledge() != null
+                && heard.knowledge().complete();
         List<String> ids = leader ? List.of() : lately();
-        return new PeerRecord.Knowledge(process, heard.knowledge() == null ? 0 : heard.knowledge().process(),
-                informed && ids.size() <= PeerRecord.MOST_CANCELLED, false,
+        return new PeerRecord.Knowledge(
+                process,
+                heard.knowledge() == null ? 0 : heard.knowledge().process(),
+                informed && ids.size() <= PeerRecord.MOST_CANCELLED,
+                false,
                 ids.subList(0, Math.min(ids.size(), PeerRecord.MOST_CANCELLED)));
     }
 
--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/Caretaker.java
@@ -87,13 +87,17 @@
         asking = false;
         if (entitled != active) {
             active = entitled;
-            LOG.info(entitled ? "nobody leads and no cancellation is unknown, all controllers agree: keeping workers' leases alive"
-                    : "no longer keeping workers' leases alive");
+            LOG.info(
+                    entitled
+                            ? "nobody leads and no cancellation is unknown, all controllers agree: keeping workers' leases alive"
+                            : "no longer keeping workers' leases alive");
         }
         for (Waiting w : batch) {
             if (entitled) {
-                w.reply.accept(200, Wire.encode(Messages.signals(w.report.token(),
-                        leadership.cancellations().stops(w.report))));
+                w.reply.accept(
+                        200,
+                        Wire.encode(Messages.signals(
+                                w.report.token(), leadership.cancellations().stops(w.report))));
             } else {
                 w.reply.accept(503, Wire.encode(Messages.error("no leader known")));
             }
--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -104,7 +104,10 @@
             if (now - calmSince < CALM_BOOTS * 1000 * m.type.bootS() || elsewhere < m.usedCpus() + keep) {
                 return;
             }
-            LOG.info("emptying machine {} with {} tasks, {} CPUs are free elsewhere", m.name, m.claims.size(),
+            LOG.info(
+                    "emptying machine {} with {} tasks, {} CPUs are free elsewhere",
+                    m.name,
+                    m.claims.size(),
                     elsewhere);
             m.draining = true;
             free = elsewhere - m.usedCpus();
@@ -136,8 +139,12 @@
 
     private boolean elsewhere(Claim claim, Machine from, long now) {
         boolean[] found = new boolean[1];
-        board.rooms.atLeast(claim.job.spec.cpus(), m -> found[0] |= m != from
-                && m.hasImage(claim.job.spec.image()) && m.hasRoom(claim.job) && placement.allowed(claim.job, m, now));
+        board.rooms.atLeast(
+                claim.job.spec.cpus(),
+                m -> found[0] |= m != from
+                        && m.hasImage(claim.job.spec.image())
+                        && m.hasRoom(claim.job)
+                        && placement.allowed(claim.job, m, now));
         return found[0];
     }
 }
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -44,8 +44,10 @@
     private final Lateness lateness;
 
     /** Workers that were sent to the leader: when, and to whom. */
-    private final Cache<String, Sent> sentAway =
-            CacheBuilder.newBuilder().maximumSize(WORKERS_REMEMBERED).concurrencyLevel(1).build();
+    private final Cache<String, Sent> sentAway = CacheBuilder.newBuilder()
+            .maximumSize(WORKERS_REMEMBERED)
+            .concurrencyLevel(1)
+            .build();
 
     private List<MachineType> types = List.of();
     private Leader leader;
@@ -136,7 +138,10 @@
             long took = outside.now() - since;
             counters.count(ask, answer.status(), took);
             if (ask == PeerRecord.Ask.SUBMIT) {
-                LOG.debug("a submission was answered {} after {} ms, led by {}", answer.status(), took,
+                LOG.debug(
+                        "a submission was answered {} after {} ms, led by {}",
+                        answer.status(),
+                        took,
                         leadership.leader());
             }
             reply.accept(answer);
@@ -146,9 +151,15 @@
     /** Takes an operator's request; the path is what follows the prefix, with its query. */
     public void admin(String method, String path, byte[] body, Consumer<PeerRecord.Answer> reply) {
         if (path.equals("counters")) {
-            Admin.view(method.equals("GET"), () -> counters.describe().put("node", settings.node())
-                    .put("leader", leadership.leader()).put("term", leadership.term())
-                    .put("late_ms", lateness.lateMs()).put("most_late_ms", lateness.mostLateMs()), reply);
+            Admin.view(
+                    method.equals("GET"),
+                    () -> counters.describe()
+                            .put("node", settings.node())
+                            .put("leader", leadership.leader())
+                            .put("term", leadership.term())
+                            .put("late_ms", lateness.lateMs())
+                            .put("most_late_ms", lateness.mostLateMs()),
+                    reply);
         } else {
             user(PeerRecord.Ask.ADMIN, method + " " + path, body, reply);
         }
@@ -166,8 +177,11 @@
         }
         // shorter than the users' own patience: 2 s for a question, 5 s for a change
         long patience = ask == PeerRecord.Ask.STATUS ? 1500 : 4000;
-        outside.peer(peer, new PeerRecord.Forward(ask, id, body), patience, answer ->
-                reply.accept(answer instanceof PeerRecord.Answer a ? a : Users.unavailable()));
+        outside.peer(
+                peer,
+                new PeerRecord.Forward(ask, id, body),
+                patience,
+                answer -> reply.accept(answer instanceof PeerRecord.Answer a ? a : Users.unavailable()));
     }
 
     private void lead(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
@@ -185,8 +199,7 @@
                 if (report == null) {
                     reply.accept(Users.refusal(400, "not a report"));
                 } else {
-                    answerReport(report, (status, answer) ->
-                            reply.accept(new PeerRecord.Answer(status, 0, answer)));
+                    answerReport(report, (status, answer) -> reply.accept(new PeerRecord.Answer(status, 0, answer)));
                 }
             }
         }
@@ -238,8 +251,11 @@
             reply.accept(421, Wire.encode(Messages.reportTo(peer.node())));
             return;
         }
-        outside.peer(peer, new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
-                Math.min(3000, reportMs), answer -> {
+        outside.peer(
+                peer,
+                new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
+                Math.min(3000, reportMs),
+                answer -> {
                     if (answer instanceof PeerRecord.Answer a) {
                         reply.accept(a.status(), a.body());
                     } else {
--- a/src/main/java/stileferry/coordination/Counters.java
+++ b/src/main/java/stileferry/coordination/Counters.java
@@ -26,9 +26,12 @@
         ObjectNode counts = n.putObject("answers");
         answers.forEach(counts::put);
         ObjectNode list = n.putObject("times_ms");
-        times.forEach((ask, h) -> list.putObject(name(ask)).put("count", h.getTotalCount())
-                .put("p50", h.getValueAtPercentile(50)).put("p90", h.getValueAtPercentile(90))
-                .put("p99", h.getValueAtPercentile(99)).put("max", h.getMaxValue()));
+        times.forEach((ask, h) -> list.putObject(name(ask))
+                .put("count", h.getTotalCount())
+                .put("p50", h.getValueAtPercentile(50))
+                .put("p90", h.getValueAtPercentile(90))
+                .put("p99", h.getValueAtPercentile(99))
+                .put("max", h.getMaxValue()));
         return n;
     }
 
--- a/src/main/java/stileferry/coordination/EndedJobs.java
+++ b/src/main/java/stileferry/coordination/EndedJobs.java
@@ -11,7 +11,8 @@
 final class EndedJobs {
     private static final int MOST = 4096;
 
-    private final Cache<String, Ended> cache = CacheBuilder.newBuilder().maximumSize(MOST).concurrencyLevel(1).build();
+    private final Cache<String, Ended> cache =
+            CacheBuilder.newBuilder().maximumSize(MOST).concurrencyLevel(1).build();
 
     /** How a job ended. */
     record Ended(String how, int tasksDone) {
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -99,8 +99,14 @@
         void changed();
     }
 
-    Fleet(Board board, Outside outside, Leadership leadership, long term, Events events,
-            Silences silences, Lateness lateness) {
+    Fleet(
+            Board board,
+            Outside outside,
+            Leadership leadership,
+            long term,
+            Events events,
+            Silences silences,
+            Lateness lateness) {
         this.silences = silences;
         this.lateness = lateness;
         this.board = board;
@@ -176,11 +182,13 @@
         if (!m.accepted(term) || m.unreachedSince != 0) {
             return;
         }
-        boolean lapsedUnderAnswers = r.session() > m.session && m.session > 0 && m.answeredAt != 0
-                && outside.now() - m.answeredAt < leaseMs;
+        boolean lapsedUnderAnswers =
+                r.session() > m.session && m.session > 0 && m.answeredAt != 0 && outside.now() - m.answeredAt < leaseMs;
         boolean unheeded = r.session() == m.session && r.seq() > m.seq && !m.answeredRuns.isEmpty() && unheeded(m, r);
         if (lapsedUnderAnswers || unheeded) {
-            LOG.info("machine {} reports but seems not to hear: {}", m.name,
+            LOG.info(
+                    "machine {} reports but seems not to hear: {}",
+                    m.name,
                     lapsedUnderAnswers ? "its lease lapsed while it was answered" : "it left starts alone");
             m.unreachedSince = outside.now();
         }
@@ -219,8 +227,7 @@
 
     /** Takes in what a worker says. False when something newer was heard before. */
     private boolean take(Machine m, Report r, boolean inOrder) {
-        if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq
-                || r.session() <= m.lapsedSession) {
+        if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq || r.session() <= m.lapsedSession) {
             return false;
         }
         long now = outside.now();
@@ -283,7 +290,11 @@
             } else if (t != null) {
                 m.asWanted &= t.stage() != Report.Stage.EXITED && !c.stopping();
                 see(m, c, t, now);
-            } else if (c.stopping() && inOrder && c.durable && c.stage == null && m.accepted(term)
+            } else if (c.stopping()
+                    && inOrder
+                    && c.durable
+                    && c.stage == null
+                    && m.accepted(term)
                     && !m.openRuns.containsKey(c.key)) {
                 // A worker has one report in flight: every answer with a start in it was carried out or dropped
                 // before this report, no direct start is unanswered, and older leaders are not obeyed any more.
@@ -299,7 +310,7 @@
             switch (t.stage()) {
                 case WAITING -> m.holds(c.job.spec.image(), c.job.spec.imageGb());
                 case RUNNING, SAVING -> running(m, c, now);
-                default -> { }
+                default -> {}
             }
         }
         if (t.stage() == Report.Stage.EXITED) {
@@ -312,7 +323,12 @@
             return;
         }
         c.runningAt = now;
-        LOG.debug("{} of {} runs on {} in {}, ordered {} ms ago", c.name, c.job.spec.jobClass(), m.name, m.zone,
+        LOG.debug(
+                "{} of {} runs on {} in {}, ordered {} ms ago",
+                c.name,
+                c.job.spec.jobClass(),
+                m.name,
+                m.zone,
                 c.orderedAt == 0 ? -1 : now - c.orderedAt);
         c.job.begun = true;
         m.holds(c.job.spec.image(), c.job.spec.imageGb());
@@ -356,7 +372,9 @@
             }
             if (t.stage() != Report.Stage.EXITED) {
                 signals.add(new Signal(Signal.Kind.KILL, t.task(), t.attempt(), 0));
-            } else if (inAnswer && m.accepted(term) && !m.settling.contains(t.key())
+            } else if (inAnswer
+                    && m.accepted(term)
+                    && !m.settling.contains(t.key())
                     && !m.openRuns.containsKey(t.key())) {
                 // Only in answers to reports: a direct one could overtake an answer that repeats the start, and
                 // after a clear a repeated start runs the task once more.
@@ -376,7 +394,8 @@
                     m.openRuns.merge(c.key, 1, Integer::sum);
                 }
             }
-            if (c.stopping() && c.stage != Report.Stage.EXITED
+            if (c.stopping()
+                    && c.stage != Report.Stage.EXITED
                     && !(c.stage == Report.Stage.SAVING && c.stopGraceS > 0)) {
                 signals.add(new Signal(Signal.Kind.KILL, c.name, c.attempt, c.stopGraceS));
             }
@@ -439,8 +458,7 @@
         long now = outside.now();
         for (Machine m : board.machines.values()) {
             boolean doubtful = m.unreachedSince != 0 && now - m.unreachedSince > reportMs / 2;
-            boolean silent = m.heard && !m.claims.isEmpty()
-                    && now - m.heardAt > PROBE_AFTER_REPORTS * reportMs;
+            boolean silent = m.heard && !m.claims.isEmpty() && now - m.heardAt > PROBE_AFTER_REPORTS * reportMs;
             if ((doubtful || silent) && !m.deleting && !m.addr.isEmpty() && !inFlight.contains(m)) {
                 toAsk.add(m);
             }
@@ -470,7 +488,10 @@
                 continue; // all else waits until this node is sure again
             }
             nudged.remove(m);
-            if (!m.heard || m.deleting || m.addr.isEmpty() || outside.now() - m.heardAt > 2 * reportMs
+            if (!m.heard
+                    || m.deleting
+                    || m.addr.isEmpty()
+                    || outside.now() - m.heardAt > 2 * reportMs
                     || lateness.behind() && !hurry(m)) {
                 continue;
             }
@@ -518,8 +539,8 @@
 
     private void command(Machine m, long session, List<Signal> signals, int tries, long timeoutMs) {
         inFlight.add(m);
-        outside.call(m.addr, "POST", "/commands", Messages.commands(term, session, signals), timeoutMs,
-                (status, body) -> {
+        outside.call(
+                m.addr, "POST", "/commands", Messages.commands(term, session, signals), timeoutMs, (status, body) -> {
                     inFlight.remove(m);
                     if (closed) {
                         return;
@@ -631,7 +652,10 @@
         long forOthers = Math.min(forSpot, outside.now() - Math.round(LATE_REPORT * reportMs) - DETOURS * DETOUR_MS);
         List<Machine> silent = new ArrayList<>();
         for (Machine m : board.machines.values()) {
-            if (m.type != null && !m.deleting && !m.booting && !m.claims.isEmpty()
+            if (m.type != null
+                    && !m.deleting
+                    && !m.booting
+                    && !m.claims.isEmpty()
                     && lastSeen(m, activeSince) < (m.spot ? forSpot : forOthers)) {
                 silent.add(m);
             }
@@ -644,7 +668,9 @@
 
     /** Whether a command that is sent now can be expected to arrive: the machine reports in time, and heard us before. */
     boolean hears(Machine m) {
-        return m.heard && !m.deleting && m.unreachedSince == 0
+        return m.heard
+                && !m.deleting
+                && m.unreachedSince == 0
                 && outside.now() - m.heardAt <= PROBE_AFTER_REPORTS * reportMs;
     }
 
--- a/src/main/java/stileferry/coordination/GangCounters.java
+++ b/src/main/java/stileferry/coordination/GangCounters.java
@@ -48,7 +48,12 @@
     }
 
     ObjectNode describe() {
-        return Wire.map().put("attempts", attempts).put("started", started).put("stopped_and_saved", saved)
-                .put("incomplete", incomplete).put("lost_a_task", lost).put("failed", failed);
+        return Wire.map()
+                .put("attempts", attempts)
+                .put("started", started)
+                .put("stopped_and_saved", saved)
+                .put("incomplete", incomplete)
+                .put("lost_a_task", lost)
+                .put("failed", failed);
     }
 }
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -54,6 +54,7 @@
 
     /** Enough controllers know that it is cancelled, so users may hear it. */
     boolean cancelTold;
+
     boolean ending;
 
     /** Its end is durable. */
@@ -93,7 +94,11 @@
     }
 
     static Job read(JsonNode v, long revision) throws JobSpec.Malformed {
-        Job job = new Job(JobSpec.read(v.path("spec")), v.path("order").asLong(), v.path("at").asLong(), revision);
+        Job job = new Job(
+                JobSpec.read(v.path("spec")),
+                v.path("order").asLong(),
+                v.path("at").asLong(),
+                revision);
         job.chunkTasks = Math.max(1, v.path("chunk").asInt(1));
         job.accepted = true;
         job.cancelled = v.path("cancelled").asBoolean();
@@ -166,7 +171,11 @@
     /** Whether all tasks are claimed under one attempt number. */
     boolean claimsFormOneAttempt() {
         return claims.size() == spec.tasks()
-                && claims.values().stream().mapToLong(claim -> claim.attempt).distinct().count() == 1;
+                && claims.values().stream()
+                                .mapToLong(claim -> claim.attempt)
+                                .distinct()
+                                .count()
+                        == 1;
     }
 
     int waitingCount() {
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -69,8 +69,16 @@
     private boolean socketsAreFew;
     private long passTookMs;
 
-    Leader(Settings settings, Outside outside, StateClient state, Leadership leadership, EndedJobs ended,
-            List<MachineType> types, long term, long leaderRevision, Lateness lateness) {
+    Leader(
+            Settings settings,
+            Outside outside,
+            StateClient state,
+            Leadership leadership,
+            EndedJobs ended,
+            List<MachineType> types,
+            long term,
+            long leaderRevision,
+            Lateness lateness) {
         this.settings = settings;
         this.outside = outside;
         this.state = state;
@@ -213,8 +221,8 @@
             String[] key = row.key().split("/");
             Job job = key.length == 3 ? board.jobs.get(key[1]) : null;
             // what is left of a job that ended is deleted like the others, with nothing kept of it
-            List<Ledger.Event> events = job == null ? List.of()
-                    : reader.readChunk(job, Integer.parseInt(key[2]), row.value(), --number);
+            List<Ledger.Event> events =
+                    job == null ? List.of() : reader.readChunk(job, Integer.parseInt(key[2]), row.value(), --number);
             ledger.restore(row.key(), row.revision(), number, events);
         }
         records.sort(Comparator.comparingLong(row -> row.value().path("n").asLong()));
@@ -225,7 +233,8 @@
         List<Claim> claims = reader.claims();
         claims.forEach(board::add);
         // the version before stored that one task of a gang was done, and might have started the others again
-        board.jobs.values().stream().filter(j -> j.spec.gang() && j.doneCount() > 0)
+        board.jobs.values().stream()
+                .filter(j -> j.spec.gang() && j.doneCount() > 0)
                 .forEach(j -> finishGang(j, null));
         board.jobs.values().forEach(this::stopBrokenAttempt);
         silences.takeOver(reader.silences());
@@ -276,8 +285,11 @@
     private void checkSockets() {
         if (!socketsAreFew && settings.sockets().full(board.machines.size())) {
             socketsAreFew = true;
-            LOG.warn("{} machines: max_sockets ({}) leaves {} connections for them and all users, so they are not kept",
-                    board.machines.size(), settings.maxSockets(), settings.sockets().incoming());
+            LOG.warn(
+                    "{} machines: max_sockets ({}) leaves {} connections for them and all users, so they are not kept",
+                    board.machines.size(),
+                    settings.maxSockets(),
+                    settings.sockets().incoming());
         }
     }
 
@@ -312,7 +324,8 @@
     }
 
     private void passOnce(boolean regular) {
-        if (board.types.isEmpty() || ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
+        if (board.types.isEmpty()
+                || ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
             return;
         }
         long now = outside.now();
@@ -336,7 +349,10 @@
     private void makeRoom(List<Job> waiting, long now) {
         long urgentAfter = Math.round(1000 * board.types.get(0).bootS());
         for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, outside.timeOfDay())) {
-            LOG.debug("stopping {} to make room for {}", stop.victim().name, stop.forJob().spec.id());
+            LOG.debug(
+                    "stopping {} to make room for {}",
+                    stop.victim().name,
+                    stop.forJob().spec.id());
             stop(stop.victim(), stop.graceS());
         }
     }
@@ -442,14 +458,21 @@
         machine.settling.add(t.key());
         job.begun |= done || t.why().equals("error");
         if (claim.orderedAt > 0 && claim.runningAt > 0) {
-            LOG.debug("{} of {} exited on {}: {}, ordered {} ms after its job, running {} ms later, for {} ms",
-                    claim.name, job.spec.jobClass(), machine.name, t.why(),
+            LOG.debug(
+                    "{} of {} exited on {}: {}, ordered {} ms after its job, running {} ms later, for {} ms",
+                    claim.name,
+                    job.spec.jobClass(),
+                    machine.name,
+                    t.why(),
                     claim.orderedAt - now + outside.timeOfDay() - job.acceptedAt,
-                    claim.runningAt - claim.orderedAt, now - claim.runningAt);
+                    claim.runningAt - claim.orderedAt,
+                    now - claim.runningAt);
         }
         if (done) {
             if (claim.orderedAt > 0 && claim.runningAt > 0) {
-                machine.finished((now - claim.runningAt) / 1000.0, (claim.runningAt - claim.orderedAt) / 1000.0,
+                machine.finished(
+                        (now - claim.runningAt) / 1000.0,
+                        (claim.runningAt - claim.orderedAt) / 1000.0,
                         SLOWDOWN_THRESHOLD_S);
             }
             job.successes++;
@@ -484,7 +507,7 @@
                 Job.Retry retry = job.retries.computeIfAbsent(claim.index, i -> new Job.Retry());
                 retry.notBefore = now + Math.min(60_000, 500L << Math.min(7, retry.failures++));
             }
-            default -> { }
+            default -> {}
         }
         if (job.spec.gang()) {
             gangCounters.exited(claim, t);
@@ -674,9 +697,13 @@
     }
 
     private ObjectNode describe() {
-        return Wire.map().put("leader", settings.node()).put("term", term)
-                .put("active_s", (outside.now() - activeAt) / 1000.0).put("live_jobs", board.jobs.size())
-                .put("machines", board.machines.size()).put("changes_waiting", ledger.backlog())
+        return Wire.map()
+                .put("leader", settings.node())
+                .put("term", term)
+                .put("active_s", (outside.now() - activeAt) / 1000.0)
+                .put("live_jobs", board.jobs.size())
+                .put("machines", board.machines.size())
+                .put("changes_waiting", ledger.backlog())
                 .set("gangs", gangCounters.describe());
     }
 
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -233,7 +233,7 @@
             LOG.info("giving up term {}", term);
             String old = lease;
             stepDown();
-            state.end(old, (status, body) -> { });
+            state.end(old, (status, body) -> {});
         }
     }
 
@@ -323,7 +323,9 @@
             conditions.addObject().put("path", TERM_KEY).put("entry_rev", termRevision);
             ArrayNode apply = t.putArray("apply");
             ObjectNode put = apply.addObject().put("put", LEADER_KEY);
-            put.set("v", Wire.map().put("node", settings.node()).put("term", next).put("lease", mine));
+            put.set(
+                    "v",
+                    Wire.map().put("node", settings.node()).put("term", next).put("lease", mine));
             put.set("mooring", body.path("mooring"));
             apply.addObject().put("put", TERM_KEY).set("v", Wire.map().put("term", next));
             state.commit(t, 2, true, (s, b) -> {
@@ -334,7 +336,7 @@
                     win(next, b.path("ledger_rev").asLong(), mine, sentAt);
                 } else {
                     // if the outcome is unknown, the next look finds the key and ends its lease
-                    state.end(mine, (s2, b2) -> { });
+                    state.end(mine, (s2, b2) -> {});
                     later(100, forRound, () -> look(forRound));
                 }
             });
@@ -343,7 +345,7 @@
 
     private void win(long wonTerm, long revision, String wonLease, long sentAt) {
         if (wonTerm < term) { // a higher term was heard meanwhile: this one would be ignored
-            state.end(wonLease, (s, b) -> { });
+            state.end(wonLease, (s, b) -> {});
             int now = ++round;
             later(100, now, () -> look(now));
             return;
--- a/src/main/java/stileferry/coordination/Machine.java
+++ b/src/main/java/stileferry/coordination/Machine.java
@@ -122,7 +122,13 @@
     }
 
     boolean usable() {
-        return heard && type != null && !draining && !faulty && !deleting && noticeS < 0 && !strays
+        return heard
+                && type != null
+                && !draining
+                && !faulty
+                && !deleting
+                && noticeS < 0
+                && !strays
                 && unreachedSince == 0;
     }
 
@@ -133,8 +139,13 @@
 
     /** Whether a report tells nothing but that the machine is still there as it was. */
     boolean sameAsBefore(Report r) {
-        return asWanted && r.tasks() == last.tasks() && r.session() == session && r.token() == token
-                && (r.noticeS() < 0 || noticeS >= 0) && r.zone().equals(zone) && r.addr().equals(addr);
+        return asWanted
+                && r.tasks() == last.tasks()
+                && r.session() == session
+                && r.token() == token
+                && (r.noticeS() < 0 || noticeS >= 0)
+                && r.zone().equals(zone)
+                && r.addr().equals(addr);
     }
 
     @Override
@@ -181,7 +192,8 @@
                 memory += c.job.spec.memoryGb();
             }
         }
-        return Math.min(fitting(cpus, job.spec.cpus()),
+        return Math.min(
+                fitting(cpus, job.spec.cpus()),
                 Math.min(fitting(gpus, job.spec.gpus()), fitting(memory, job.spec.memoryGb())));
     }
 
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -56,8 +56,11 @@
         boolean cover(Job job) {
             JobSpec s = job.spec;
             for (JobSpec m : specs) {
-                if (m.cpus() <= s.cpus() && m.gpus() <= s.gpus() && m.memoryGb() <= s.memoryGb()
-                        && (m.spot() || !s.spot()) && (m.zone() == null || m.zone().equals(s.zone()))
+                if (m.cpus() <= s.cpus()
+                        && m.gpus() <= s.gpus()
+                        && m.memoryGb() <= s.memoryGb()
+                        && (m.spot() || !s.spot())
+                        && (m.zone() == null || m.zone().equals(s.zone()))
                         && (m.types() == null || s.types() != null && m.types().containsAll(s.types()))) {
                     return true;
                 }
@@ -88,7 +91,8 @@
 
     /** True for a job that waits too long for its first task: it goes before all others, with that task only. */
     boolean overdue(Job job, long timeOfDay) {
-        return !job.begun && job.claims.isEmpty()
+        return !job.begun
+                && job.claims.isEmpty()
                 && timeOfDay - job.acceptedAt > 1000 * board.options.number(Options.BEGIN_WITHIN_S);
     }
 
@@ -209,7 +213,8 @@
     private Machine roomiest(Job job, long now) {
         Machine best = null;
         for (Machine m : board.machines.values()) {
-            if (m.heard && allowed(job, m, now)
+            if (m.heard
+                    && allowed(job, m, now)
                     && (best == null || m.type.cpus() - m.usedCpus() > best.type.cpus() - best.usedCpus())) {
                 best = m;
             }
@@ -318,7 +323,10 @@
         }
         Machine[] best = new Machine[1];
         board.rooms.atLeast(job.spec.cpus(), m -> {
-            if (m.hasRoom(job) && board.reservations.leaveRoom(m, job) && allowed(job, m, now) && usable.test(m)
+            if (m.hasRoom(job)
+                    && board.reservations.leaveRoom(m, job)
+                    && allowed(job, m, now)
+                    && usable.test(m)
                     && (best[0] == null || better(job, m, best[0]))) {
                 best[0] = m;
             }
@@ -347,8 +355,8 @@
             return m.spot; // leaves room on ordinary machines for work that may not go elsewhere
         }
         if (job.spec.service()) {
-            int byZone = Integer.compare(job.tasksInZone.getOrDefault(m.zone, 0),
-                    job.tasksInZone.getOrDefault(than.zone, 0));
+            int byZone = Integer.compare(
+                    job.tasksInZone.getOrDefault(m.zone, 0), job.tasksInZone.getOrDefault(than.zone, 0));
             if (byZone != 0) {
                 return byZone < 0;
             }
@@ -386,7 +394,8 @@
         for (Machine m : board.machines.values()) {
             allowed += m.type != null && allowed(job, m, now) ? 1 : 0;
         }
-        return allowed == 0 ? "no machine that it may use is up"
+        return allowed == 0
+                ? "no machine that it may use is up"
                 : "no room on " + allowed + " machines that it may use";
     }
 
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -80,7 +80,9 @@
         /** Takes in that a claimed task is stopped, and with it the rest of its gang. */
         void stop(Claim victim) {
             if (victim.job.spec.gang()) {
-                victim.job.claims.values().stream().filter(c -> !going.contains(c)).forEach(this::give);
+                victim.job.claims.values().stream()
+                        .filter(c -> !going.contains(c))
+                        .forEach(this::give);
             } else {
                 give(victim);
             }
@@ -123,8 +125,8 @@
                 plan = makeRoomForAll(job, now, plan);
                 continue;
             }
-            Placement.Misfits same = misfits.computeIfAbsent(List.of(job.spec.priority(), job.withinGuarantee,
-                    job.spec.team()), k -> new Placement.Misfits());
+            Placement.Misfits same = misfits.computeIfAbsent(
+                    List.of(job.spec.priority(), job.withinGuarantee, job.spec.team()), k -> new Placement.Misfits());
             if (!same.cover(job) && makeRoom(job, null, now, plan) == 0) {
                 same.add(job);
             }
@@ -156,7 +158,8 @@
         long waitedMs = timeOfDay - job.acceptedAt;
         // a machine to be rented boots too late for a gang that is to start soon, so it doesn't wait for one
         double patienceMs = job.spec.gang()
-                ? Math.min(urgentAfterMs, GANG_PATIENCE * 1000 * placement.startAim(job)) : urgentAfterMs;
+                ? Math.min(urgentAfterMs, GANG_PATIENCE * 1000 * placement.startAim(job))
+                : urgentAfterMs;
         return job.spec.priority() == JobSpec.Priority.NORMAL && waitedMs > patienceMs;
     }
 
@@ -182,7 +185,8 @@
     /** Makes room for as many waiting tasks of a job as can be, in one zone or (null) in any; returns for how many. */
     private int makeRoom(Job job, String zone, long now, Plan plan) {
         PriorityQueue<Option> options = new PriorityQueue<>(Comparator.comparing(Option::fetch)
-                .thenComparingLong(Option::loss).thenComparing(Option::machine));
+                .thenComparingLong(Option::loss)
+                .thenComparing(Option::machine));
         for (Machine m : board.machines.values()) {
             if (m.heard && (zone == null || zone.equals(m.zone)) && placement.allowed(job, m, now)) {
                 looksLeft--;
@@ -265,8 +269,9 @@
                 candidates.add(c);
             }
         }
-        candidates.sort(Comparator.<Claim>comparingInt(c -> -c.job.spec.priority().ordinal())
-                .thenComparingLong(c -> c.stopCostMs(now)));
+        candidates.sort(
+                Comparator.<Claim>comparingInt(c -> -c.job.spec.priority().ordinal())
+                        .thenComparingLong(c -> c.stopCostMs(now)));
         List<Claim> victims = new ArrayList<>();
         for (Claim c : candidates) {
             if (fits(cpus, gpus, memory)) {
@@ -298,7 +303,9 @@
             return false;
         }
         double[] back = plan.givenBack.getOrDefault(c.job.spec.team(), new double[2]);
-        return job.withinGuarantee && !c.job.withinGuarantee && !c.job.spec.team().equals(job.spec.team())
+        return job.withinGuarantee
+                && !c.job.withinGuarantee
+                && !c.job.spec.team().equals(job.spec.team())
                 && board.beyondGuarantee(c.job.spec.team(), back[0] + givenCpus, back[1] + givenGpus);
     }
 }
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -93,8 +93,12 @@
         }
 
         boolean fits(JobSpec s) {
-            return (s.spot() || !spot) && (s.zone() == null || s.zone().equals(zone)) && s.fitsType(type)
-                    && s.cpus() <= cpus + 1e-6 && s.gpus() <= gpus + 1e-6 && s.memoryGb() <= memory + 1e-6;
+            return (s.spot() || !spot)
+                    && (s.zone() == null || s.zone().equals(zone))
+                    && s.fitsType(type)
+                    && s.cpus() <= cpus + 1e-6
+                    && s.gpus() <= gpus + 1e-6
+                    && s.memoryGb() <= memory + 1e-6;
         }
 
         /** Takes as many tasks as fit, and returns how many. */
@@ -221,31 +225,51 @@
             if (m.missingSince != 0 && now - m.missingSince > lag / 2 && (fleet.silent(m) || !m.heard)) {
                 // Listed before and not listed now: it is gone. Deleting it is free and makes that certain.
                 why = "it is not listed any more";
-            } else if (!m.heard && m.booting && m.type != null && m.claims.isEmpty() && m.rentedAt != 0
-                    && now - m.rentedAt > BOOT_PATIENCE * 1000 * m.type.bootS() && settled) {
+            } else if (!m.heard
+                    && m.booting
+                    && m.type != null
+                    && m.claims.isEmpty()
+                    && m.rentedAt != 0
+                    && now - m.rentedAt > BOOT_PATIENCE * 1000 * m.type.bootS()
+                    && settled) {
                 why = "it never came up";
-            } else if (!m.heard && !m.listed && !m.claims.isEmpty() && settled && listedOnce
+            } else if (!m.heard
+                    && !m.listed
+                    && !m.claims.isEmpty()
+                    && settled
+                    && listedOnce
                     && quiet > 2 * lag + lease) {
                 why = "nobody knows it";
             } else if (lost.contains(m)) {
                 // the deletion proves sooner than the lease that its tasks are gone
                 why = m.spot ? "it was taken without a word" : "it is silent, though its zone is not";
-            } else if (m.lapsedSession >= m.session && m.claims.isEmpty() && !m.booting
+            } else if (m.lapsedSession >= m.session
+                    && m.claims.isEmpty()
+                    && !m.booting
                     && Math.min(quiet, now - m.heardAt) > 3 * lease) {
                 why = "it is silent";
             } else if (m.unreachedSince != 0 && now - m.unreachedSince > 3 * lease && settled) {
                 why = "it reports, but nothing that it is told reaches it";
-            } else if (m.heard && m.claims.isEmpty() && settled && !fleet.silent(m)
+            } else if (m.heard
+                    && m.claims.isEmpty()
+                    && settled
+                    && !fleet.silent(m)
                     && (m.noticeS >= 0 || m.faulty || m.draining)) {
                 why = "it is empty and shall not be used";
-            } else if (m.heard && m.claims.isEmpty() && settled && m.type != null && !m.strays
-                    && now - m.idleSince > idleMs(m) && now - m.rentedAt > PAID_MS
+            } else if (m.heard
+                    && m.claims.isEmpty()
+                    && settled
+                    && m.type != null
+                    && !m.strays
+                    && now - m.idleSince > idleMs(m)
+                    && now - m.rentedAt > PAID_MS
                     && (m.spot || spare >= m.type.cpus())) {
                 why = "it is idle";
                 spare -= m.spot ? 0 : m.type.cpus();
             }
             for (Claim c : m.claims.values()) {
-                if (c.job.cancelled && c.stopAskedAt > 0
+                if (c.job.cancelled
+                        && c.stopAskedAt > 0
                         && now - c.stopAskedAt > 800 * board.settings.workers().cancelS()) {
                     why = "a cancelled task on it can't be stopped";
                 }
@@ -356,7 +380,8 @@
         }
         Map<String, List<Bin>> groups = new HashMap<>();
         for (Bin bin : coming.subList(known, coming.size())) {
-            groups.computeIfAbsent(group(bin.type, bin.zone, bin.spot), g -> new ArrayList<>()).add(bin);
+            groups.computeIfAbsent(group(bin.type, bin.zone, bin.spot), g -> new ArrayList<>())
+                    .add(bin);
         }
         List<List<Bin>> parts = new ArrayList<>();
         groups.values().forEach(bins -> parts.addAll(Lists.partition(bins, MAX_RENT)));
@@ -408,8 +433,10 @@
         }
         String best = null;
         for (Map.Entry<String, Integer> e : room.entrySet()) {
-            if (!dark.contains(e.getKey()) && (best == null || e.getValue() > room.get(best)
-                    || e.getValue().equals(room.get(best)) && e.getKey().compareTo(best) < 0)) {
+            if (!dark.contains(e.getKey())
+                    && (best == null
+                            || e.getValue() > room.get(best)
+                            || e.getValue().equals(room.get(best)) && e.getKey().compareTo(best) < 0)) {
                 best = e.getKey();
             }
         }
@@ -429,8 +456,11 @@
                 for (boolean spot : new boolean[] {true, false}) {
                     Bin bin = new Bin(type, zone, spot);
                     Refusal refusal = refusals.get(group(type, zone, spot));
-                    if ((!spot || moreSpot) && (refusal == null || refusal.until <= outside.now())
-                            && !dark.contains(zone) && bin.fits(spec) && (onlyZone == null || onlyZone.equals(zone))
+                    if ((!spot || moreSpot)
+                            && (refusal == null || refusal.until <= outside.now())
+                            && !dark.contains(zone)
+                            && bin.fits(spec)
+                            && (onlyZone == null || onlyZone.equals(zone))
                             && (best == null || cheaper(bin, best, perZone))) {
                         best = bin;
                     }
@@ -465,7 +495,10 @@
     }
 
     private void send(Rental r) {
-        call("POST", "/hosts", Messages.rent(r.request, r.type.name(), r.zone, r.spot, r.count),
+        call(
+                "POST",
+                "/hosts",
+                Messages.rent(r.request, r.type.name(), r.zone, r.spot, r.count),
                 (status, body) -> answered(r, status, body));
     }
 
@@ -474,8 +507,13 @@
         if (status == 200 && body != null) {
             rentals.removeIf(x -> x.request.equals(r.request));
             List<String> names = Messages.rented(body);
-            LOG.info("rented {} of {} {} {} in {}", names.size(), r.count, r.spot ? "spot" : "ordinary",
-                    r.type.name(), r.zone);
+            LOG.info(
+                    "rented {} of {} {} {} in {}",
+                    names.size(),
+                    r.count,
+                    r.spot ? "spot" : "ordinary",
+                    r.type.name(),
+                    r.zone);
             for (String name : names) {
                 Machine m = board.machine(name);
                 m.type = r.type;
@@ -504,7 +542,11 @@
         Refusal refusal = refusals.computeIfAbsent(group, g -> new Refusal());
         long pause = Math.round(r.type.bootS() * 500) << Math.min(1, refusal.count++);
         refusal.until = outside.now() + pause;
-        LOG.info("no more {} {} in {}, asking again in {} s", r.spot ? "spot" : "ordinary", r.type.name(), r.zone,
+        LOG.info(
+                "no more {} {} in {}, asking again in {} s",
+                r.spot ? "spot" : "ordinary",
+                r.type.name(),
+                r.zone,
                 pause / 1000);
     }
 }
--- a/src/main/java/stileferry/coordination/Silences.java
+++ b/src/main/java/stileferry/coordination/Silences.java
@@ -70,14 +70,22 @@
         }
 
         static Silence read(JsonNode e) {
-            return new Silence(e.path(1).asText(), e.path(2).asLong(), e.path(3).asLong(), e.path(4).asLong());
+            return new Silence(
+                    e.path(1).asText(),
+                    e.path(2).asLong(),
+                    e.path(3).asLong(),
+                    e.path(4).asLong());
         }
     }
 
     private record Silent(Silence silence) implements Ledger.Event {
         @Override
         public void write(ArrayNode into) {
-            into.add(SILENT).add(silence.machine).add(silence.session).add(silence.answeredAt).add(silence.term);
+            into.add(SILENT)
+                    .add(silence.machine)
+                    .add(silence.session)
+                    .add(silence.answeredAt)
+                    .add(silence.term);
         }
 
         @Override
--- a/src/main/java/stileferry/coordination/TaskEvents.java
+++ b/src/main/java/stileferry/coordination/TaskEvents.java
@@ -38,7 +38,11 @@
     private record Claimed(Claim claim) implements Ledger.Event {
         @Override
         public void write(ArrayNode into) {
-            into.add(CLAIMED).add(claim.job.spec.id()).add(claim.index).add(claim.attempt).add(claim.machine)
+            into.add(CLAIMED)
+                    .add(claim.job.spec.id())
+                    .add(claim.index)
+                    .add(claim.attempt)
+                    .add(claim.machine)
                     .add(claim.session);
         }
 
@@ -154,8 +158,14 @@
                     continue; // the job is over
                 }
                 switch (kind) {
-                    case CLAIMED -> events.add(claim(job, index, e.path(3).asLong(), e.path(4).asText(),
-                            e.path(5).asLong(), number));
+                    case CLAIMED ->
+                        events.add(claim(
+                                job,
+                                index,
+                                e.path(3).asLong(),
+                                e.path(4).asText(),
+                                e.path(5).asLong(),
+                                number));
                     case FREED -> {
                         Claim claim = of(job).get(index);
                         if (claim != null && claim.attempt == e.path(3).asLong()) {
@@ -163,9 +173,9 @@
                         }
                         events.add(new Freed(job, index, e.path(3).asLong()));
                     }
-                    case DONE -> events.add(done(job, index, Math.min(e.path(3).asInt(), job.spec.tasks() - 1),
-                            number));
-                    default -> { }
+                    case DONE ->
+                        events.add(done(job, index, Math.min(e.path(3).asInt(), job.spec.tasks() - 1), number));
+                    default -> {}
                 }
             }
             return events;
@@ -186,7 +196,13 @@
             for (JsonNode c : v.path("claims")) {
                 int index = c.path(0).asInt(-1);
                 if (index >= 0 && index < job.spec.tasks()) {
-                    events.add(claim(job, index, c.path(1).asLong(), c.path(2).asText(), c.path(3).asLong(), number));
+                    events.add(claim(
+                            job,
+                            index,
+                            c.path(1).asLong(),
+                            c.path(2).asText(),
+                            c.path(3).asLong(),
+                            number));
                 }
             }
             return events;
--- a/src/main/java/stileferry/coordination/Users.java
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -166,25 +166,30 @@
         }
         long behindS = behindS();
         if (behindS > 0) { // it would only wait, and everything behind it
-            reply.accept(new PeerRecord.Answer(503, (int) behindS,
-                    Wire.encode(Messages.error("too much to do, try again"))));
+            reply.accept(new PeerRecord.Answer(
+                    503, (int) behindS, Wire.encode(Messages.error("too much to do, try again"))));
             return;
         }
-        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
-            Job meanwhile = board.jobs.get(id);
-            if (meanwhile != null) {
-                join(meanwhile, reply);
-            } else if (ended.get(id) != null) {
-                reply.accept(ok(200, ended.get(id).answer(id)));
-            } else {
-                accept(body, reply);
-            }
-        }, () -> reply.accept(unavailable()));
+        lookUp(
+                id,
+                e -> reply.accept(ok(200, e.answer(id))),
+                () -> {
+                    Job meanwhile = board.jobs.get(id);
+                    if (meanwhile != null) {
+                        join(meanwhile, reply);
+                    } else if (ended.get(id) != null) {
+                        reply.accept(ok(200, ended.get(id).answer(id)));
+                    } else {
+                        accept(body, reply);
+                    }
+                },
+                () -> reply.accept(unavailable()));
     }
 
     /** Seconds after which a submission is worth another try when the state service can't take it soon; 0: it can. */
     private long behindS() {
-        double seconds = Math.max(ledger.backlog() / board.settings.state().writeRps(),
+        double seconds = Math.max(
+                ledger.backlog() / board.settings.state().writeRps(),
                 state.waiting() / board.settings.state().rps());
         return seconds < BEHIND_S ? 0 : (long) Math.ceil(seconds);
     }
@@ -256,10 +261,14 @@
             reply.accept(unreadable(id));
             return;
         }
-        lookUp(id, e -> reply.accept(ok(200, e.answer(id))), () -> {
-            Job meanwhile = board.jobs.get(id);
-            reply.accept(meanwhile != null ? state(meanwhile, 200) : endedMeanwhile(id));
-        }, () -> reply.accept(unavailable()));
+        lookUp(
+                id,
+                e -> reply.accept(ok(200, e.answer(id))),
+                () -> {
+                    Job meanwhile = board.jobs.get(id);
+                    reply.accept(meanwhile != null ? state(meanwhile, 200) : endedMeanwhile(id));
+                },
+                () -> reply.accept(unavailable()));
     }
 
     /** The answer about a job that is not alive and had not ended when that was asked: it may have lived in between. */
@@ -277,7 +286,9 @@
         if (job == null && board.unreadable.contains(id)) {
             reply.accept(unavailable());
         } else if (job == null) {
-            lookUp(id, e -> reply.accept(ok(200, e.answer(id))),
+            lookUp(
+                    id,
+                    e -> reply.accept(ok(200, e.answer(id))),
                     () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : endedMeanwhile(id)),
                     () -> reply.accept(unavailable()));
         } else if (!job.accepted) {
--- a/src/main/java/stileferry/protocol/JobSpec.java
+++ b/src/main/java/stileferry/protocol/JobSpec.java
@@ -36,7 +36,9 @@
 
     /** Independent tasks; replicas that run until cancelled; tasks that only run all together. */
     public enum Kind {
-        ARRAY("array"), SERVICE("standing"), GANG("group");
+        ARRAY("array"),
+        SERVICE("standing"),
+        GANG("group");
 
         private final String word;
 
@@ -46,7 +48,12 @@
     }
 
     /** Priorities, the most urgent first. */
-    public enum Priority { CRITICAL, URGENT, NORMAL, IDLE }
+    public enum Priority {
+        CRITICAL,
+        URGENT,
+        NORMAL,
+        IDLE
+    }
 
     /** A body that is not a well-formed job. */
     public static final class Malformed extends Exception {
@@ -70,7 +77,9 @@
             throw new Malformed("name_id: bad form");
         }
         JsonNode tasks = body.path("passengers");
-        if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.intValue() < 1
+        if (!tasks.isIntegralNumber()
+                || !tasks.canConvertToInt()
+                || tasks.intValue() < 1
                 || tasks.intValue() > MAX_TASKS) {
             throw new Malformed("passengers: out of range");
         }
@@ -79,11 +88,25 @@
         double memory = amount(body, "ram_gb");
         JsonNode deadline = body.path("moor_by_s");
         return new JobSpec(
-                id, text(body, "berth"), text(body, "crew"), kind(text(body, "craft")),
-                priority(text(body, "precedence")), tasks.intValue(), cpus, gpus, memory,
-                text(body, "cargo"), amount(body, "pull_gb"), types(body.path("hulls")),
-                nullableText(body, "harbor"), flag(body, "same_place"), flag(body, "apart"), flag(body, "tender"),
-                amount(body, "crossing_s"), amount(body, "waypoint_s"), amount(body, "stow_s"),
+                id,
+                text(body, "berth"),
+                text(body, "crew"),
+                kind(text(body, "craft")),
+                priority(text(body, "precedence")),
+                tasks.intValue(),
+                cpus,
+                gpus,
+                memory,
+                text(body, "cargo"),
+                amount(body, "pull_gb"),
+                types(body.path("hulls")),
+                nullableText(body, "harbor"),
+                flag(body, "same_place"),
+                flag(body, "apart"),
+                flag(body, "tender"),
+                amount(body, "crossing_s"),
+                amount(body, "waypoint_s"),
+                amount(body, "stow_s"),
                 absent(deadline) ? -1 : amount(body, "moor_by_s"));
     }
 
@@ -92,7 +115,11 @@
         ObjectNode n = Wire.map();
         n.put("name_id", id).put("berth", jobClass).put("crew", team).put("craft", kind.word);
         n.put("precedence", priority.name().toLowerCase(java.util.Locale.ROOT)).put("passengers", tasks);
-        n.put("cores", cpus).put("gpus", gpus).put("ram_gb", memoryGb).put("cargo", image).put("pull_gb", imageGb);
+        n.put("cores", cpus)
+                .put("gpus", gpus)
+                .put("ram_gb", memoryGb)
+                .put("cargo", image)
+                .put("pull_gb", imageGb);
         if (types != null) {
             types.forEach(n.putArray("hulls")::add);
         }
@@ -107,7 +134,9 @@
     /** True when the machine type is among the allowed ones and one task fits an empty machine of it. */
     public boolean fitsType(MachineType type) {
         return (types == null || types.contains(type.name()))
-                && cpus <= type.cpus() && gpus <= type.gpus() && memoryGb <= type.memoryGb()
+                && cpus <= type.cpus()
+                && gpus <= type.gpus()
+                && memoryGb <= type.memoryGb()
                 && (zone == null || type.zones().contains(zone));
     }
 
@@ -116,7 +145,11 @@
         if (!gang() || !spread || tasks == 1) {
             return true;
         }
-        long zones = all.stream().filter(this::fitsType).flatMap(type -> type.zones().stream()).distinct().count();
+        long zones = all.stream()
+                .filter(this::fitsType)
+                .flatMap(type -> type.zones().stream())
+                .distinct()
+                .count();
         return !oneZone && zone == null && zones > 1;
     }
 
--- a/src/main/java/stileferry/protocol/Messages.java
+++ b/src/main/java/stileferry/protocol/Messages.java
@@ -14,7 +14,11 @@
     /** A command to a worker. */
     public record Signal(Kind kind, String task, long attempt, double graceS) {
         /** What a command asks for. */
-        public enum Kind { RUN, KILL, CLEAR }
+        public enum Kind {
+            RUN,
+            KILL,
+            CLEAR
+        }
 
         /** What tells this start of this task from all others. */
         public String key() {
@@ -23,12 +27,15 @@
     }
 
     /** A machine in the cloud's list. */
-    public record Listed(String name, String addr, String type, String zone, boolean spot, String state,
-            double ageS) {}
+    public record Listed(String name, String addr, String type, String zone, boolean spot, String state, double ageS) {}
 
     /** The body of a user's answer about a job. */
     public static ObjectNode jobState(String id, String state, int done, int running) {
-        return Wire.map().put("name_id", id).put("tide", state).put("done", done).put("running", running);
+        return Wire.map()
+                .put("name_id", id)
+                .put("tide", state)
+                .put("done", done)
+                .put("running", running);
     }
 
     /** A refusal with its reason. */
@@ -63,7 +70,11 @@
 
     /** A rental request. */
     public static ObjectNode rent(String request, String type, String zone, boolean spot, int count) {
-        return Wire.map().put("charter", request).put("hull", type).put("harbor", zone).put("tender", spot)
+        return Wire.map()
+                .put("charter", request)
+                .put("hull", type)
+                .put("harbor", zone)
+                .put("tender", spot)
                 .put("count", count);
     }
 
@@ -85,8 +96,13 @@
     public static List<Listed> listed(JsonNode body) {
         List<Listed> machines = new ArrayList<>();
         for (JsonNode m : body.path("fleet")) {
-            machines.add(new Listed(m.path("name_id").asText(), m.path("addr").asText(), m.path("hull").asText(),
-                    m.path("harbor").asText(), m.path("tender").asBoolean(), m.path("tide").asText(),
+            machines.add(new Listed(
+                    m.path("name_id").asText(),
+                    m.path("addr").asText(),
+                    m.path("hull").asText(),
+                    m.path("harbor").asText(),
+                    m.path("tender").asBoolean(),
+                    m.path("tide").asText(),
                     m.path("age_s").asDouble()));
         }
         return machines;
--- a/src/main/java/stileferry/protocol/Options.java
+++ b/src/main/java/stileferry/protocol/Options.java
@@ -41,24 +41,37 @@
 
     private static final List<Definition> ALL = List.of(
             number(PASS_INTERVAL_S, 1, 0.2, 10, "seconds between regular passes over the queue"),
-            number(HEAD_PROTECTION_S, 600, 10, 86_400,
+            number(
+                    HEAD_PROTECTION_S,
+                    600,
+                    10,
+                    86_400,
                     "seconds after which later jobs may not use machines that the waiting head could use"),
-            number(BEGIN_WITHIN_S, 150, 10, 86_400,
+            number(
+                    BEGIN_WITHIN_S,
+                    150,
+                    10,
+                    86_400,
                     "seconds after which a job none of whose tasks has begun goes before all others"),
             number(IDLE_BOOTS, 2, 0.5, 1000, "idle time before a machine is returned, in boot times of its type"),
             number(SPARE_SHARE, 0.1, 0, 1, "share of the CPUs in use by critical work that is kept free for more"),
             number(EMPTY_SHARE, 0.1, 0, 1, "share of all CPUs that must be free before a machine is emptied; 1: never"),
             number(SPOT_SHARE, 1, 0, 1, "greatest share of spot machines among all machines when renting"),
             new Definition(PREEMPTION, BooleanNode.TRUE, 0, 0, List.of(), "whether work is stopped to make room"),
-            new Definition(LOG_LEVEL, TextNode.valueOf("default"), 0, 0, List.of("default", "error", "info", "debug"),
+            new Definition(
+                    LOG_LEVEL,
+                    TextNode.valueOf("default"),
+                    0,
+                    0,
+                    List.of("default", "error", "info", "debug"),
                     "how much every controller logs; default: as each was started"));
 
     private final long revision;
     private final Map<String, JsonNode> changed;
 
     /** One setting; its kind is that of its default. */
-    public record Definition(String name, JsonNode preset, double least, double most, List<String> choices,
-            String meaning) {}
+    public record Definition(
+            String name, JsonNode preset, double least, double most, List<String> choices, String meaning) {}
 
     /** A change that can't be made; the message names the setting. */
     public static final class Invalid extends Exception {
--- a/src/main/java/stileferry/protocol/PeerRecord.java
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -13,7 +13,13 @@
 public sealed interface PeerRecord {
 
     /** What a forwarded request asks. */
-    enum Ask { SUBMIT, STATUS, WITHDRAW, REPORT, ADMIN }
+    enum Ask {
+        SUBMIT,
+        STATUS,
+        WITHDRAW,
+        REPORT,
+        ADMIN
+    }
 
     /** A request on its way to the leader; for {@link Ask#ADMIN} the id is the method and the rest of the path. */
     record Forward(Ask ask, String id, byte[] body) implements PeerRecord {}
@@ -87,7 +93,10 @@
                 case 2:
                     return new Answer(in.readShort(), in.readInt(), readBytes(in));
                 case 3:
-                    return new Term(in.readLong(), in.readUTF(), in.readBoolean(),
+                    return new Term(
+                            in.readLong(),
+                            in.readUTF(),
+                            in.readBoolean(),
                             in.available() > 0 ? readKnowledge(in) : null);
                 default:
                     return null;
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -15,8 +15,17 @@
  * @param encoded the end of the body, from the list of tasks on; null when the list was not the last field
  */
 public record Report(
-        String machine, String addr, String type, String zone, boolean spot,
-        long session, long seq, long token, double noticeS, List<TaskState> tasks, byte[] encoded) {
+        String machine,
+        String addr,
+        String type,
+        String zone,
+        boolean spot,
+        long session,
+        long seq,
+        long token,
+        double noticeS,
+        List<TaskState> tasks,
+        byte[] encoded) {
 
     private static final String TASKS = "passengers";
     private static final byte[] NO_BODY = new byte[0];
@@ -31,7 +40,13 @@
     public static final String INCOMPLETE = "incomplete";
 
     /** Where a task stands on its worker; a gang's task that has its image waits for the others. */
-    public enum Stage { FETCHING, WAITING, RUNNING, SAVING, EXITED }
+    public enum Stage {
+        FETCHING,
+        WAITING,
+        RUNNING,
+        SAVING,
+        EXITED
+    }
 
     /** One task of a report; {@code why} is empty unless it has exited. */
     public record TaskState(String task, long attempt, Stage stage, String why, boolean saved) {
@@ -147,13 +162,14 @@
                 switch (name) {
                     case "passenger" -> task = p.getValueAsString("");
                     case "launch" -> attempt = p.getValueAsLong();
-                    case "tide" -> stage = switch (p.getValueAsString("")) {
-                        case "waiting" -> Stage.WAITING;
-                        case "running" -> Stage.RUNNING;
-                        case "saving" -> Stage.SAVING;
-                        case "exited" -> Stage.EXITED;
-                        default -> Stage.FETCHING;
-                    };
+                    case "tide" ->
+                        stage = switch (p.getValueAsString("")) {
+                            case "waiting" -> Stage.WAITING;
+                            case "running" -> Stage.RUNNING;
+                            case "saving" -> Stage.SAVING;
+                            case "exited" -> Stage.EXITED;
+                            default -> Stage.FETCHING;
+                        };
                     case "landing_cause" -> why = p.getValueAsString("");
                     case "kept" -> saved = value == JsonToken.VALUE_TRUE;
                     default -> p.skipChildren();
--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -72,8 +72,7 @@
                         lower(state, "value_kb", LEAST_VALUE_KB),
                         (int) lower(state, "txn_ops", 3)),
                 new Settings.Cloud(
-                        positive(cloud, "cluster.cloud.", "rps"),
-                        atLeast(cloud, "cluster.cloud.", "list_lag_s", 0)),
+                        positive(cloud, "cluster.cloud.", "rps"), atLeast(cloud, "cluster.cloud.", "list_lag_s", 0)),
                 limits.path("cores").isMissingNode() ? 1 : positive(limits, "cluster.machine_limits.", "cores"),
                 (int) atLeast(limits, "cluster.machine_limits.", "max_sockets", 16),
                 cluster.path("clock_off_ms").isMissingNode() ? -1 : atLeast(cluster, "cluster.", "clock_off_ms", 0));
--- a/src/main/java/stileferry/storage/EventLog.java
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -56,8 +56,8 @@
     private record Pending(Ledger.Event event, Runnable onDurable) {}
 
     /** What one transaction writes of the log, and whether the record it gives up held ends of claims. */
-    public record Batch(Ledger.Entry put, List<Ledger.Entry> deletions, int bytes, List<Runnable> actions,
-            boolean endsGivenUp) {}
+    public record Batch(
+            Ledger.Entry put, List<Ledger.Entry> deletions, int bytes, List<Runnable> actions, boolean endsGivenUp) {}
 
     /**
      * A ring of so many records within the service's value limit.
@@ -232,8 +232,8 @@
         return false;
     }
 
-    private static int keep(long oldNumber, List<Ledger.Event> held, long number, List<Ledger.Event> events,
-            int bytes) {
+    private static int keep(
+            long oldNumber, List<Ledger.Event> held, long number, List<Ledger.Event> events, int bytes) {
         int sum = bytes;
         for (Ledger.Event e : held) {
             Ledger.Event kept = e.kept(oldNumber);
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -128,8 +128,7 @@
     }
 
     /** A ledger for one term, fenced by the leader key at the revision it was written with. */
-    public Ledger(Outside outside, StateClient state, String fenceKey, long fenceRevision, long term,
-            Runnable onLost) {
+    public Ledger(Outside outside, StateClient state, String fenceKey, long fenceRevision, long term, Runnable onLost) {
         this.outside = outside;
         this.state = state;
         this.fenceKey = fenceKey;
@@ -204,7 +203,8 @@
                 }
                 return;
             }
-            Transaction t = pack(Math.min(Math.max(LEAST_CHANGES, room), state.limits().txnOps()));
+            Transaction t =
+                    pack(Math.min(Math.max(LEAST_CHANGES, room), state.limits().txnOps()));
             if (t == null) {
                 return;
             }
@@ -328,7 +328,10 @@
         if (closed) {
             return;
         }
-        Entry entry = t.entries.stream().filter(e -> !t.deletions.contains(e)).findFirst().orElse(t.entries.get(0));
+        Entry entry = t.entries.stream()
+                .filter(e -> !t.deletions.contains(e))
+                .findFirst()
+                .orElse(t.entries.get(0));
         state.get(entry.key, (status, body) -> {
             if (closed) {
                 return;
--- a/src/main/java/stileferry/storage/StateClient.java
+++ b/src/main/java/stileferry/storage/StateClient.java
@@ -19,6 +19,7 @@
 
     /** Seconds of the rate of changes that are gathered for a transaction under load. */
     private static final double GATHER_S = 0.15;
+
     private static final long PUMP_MS = 20;
 
     /** An answer that waits for this process to read it is no lost one. */
@@ -93,34 +94,39 @@
 
     private void page(String prefix, String from, boolean urgent, List<Row> rows, Consumer<Rows> done) {
         String path = "/kv?starts=" + prefix + (from.isEmpty() ? "" : "&from=" + from) + "&most=500";
-        send(0, urgent, () -> outside.call(addr, "GET", path, null, 2 * patienceMs(), (status, body) -> {
-            if (status != 200 || body == null) {
-                done.accept(new Rows(null, 0));
-                return;
-            }
-            String last = from;
-            for (JsonNode row : body.path("rows")) {
-                last = row.path("path").asText();
-                rows.add(new Row(last, row.path("v"), row.path("entry_rev").asLong()));
-            }
-            if (body.path("more").asBoolean() && !last.equals(from)) {
-                page(prefix, last, urgent, rows, done);
-            } else {
-                done.accept(new Rows(rows, body.path("ledger_rev").asLong()));
-            }
-        }));
+        send(
+                0,
+                urgent,
+                () -> outside.call(addr, "GET", path, null, 2 * patienceMs(), (status, body) -> {
+                    if (status != 200 || body == null) {
+                        done.accept(new Rows(null, 0));
+                        return;
+                    }
+                    String last = from;
+                    for (JsonNode row : body.path("rows")) {
+                        last = row.path("path").asText();
+                        rows.add(new Row(
+                                last, row.path("v"), row.path("entry_rev").asLong()));
+                    }
+                    if (body.path("more").asBoolean() && !last.equals(from)) {
+                        page(prefix, last, urgent, rows, done);
+                    } else {
+                        done.accept(new Rows(rows, body.path("ledger_rev").asLong()));
+                    }
+                }));
     }
 
     /** Sends a transaction. */
     public void commit(ObjectNode transaction, int writeCount, boolean urgent, Outside.Reply reply) {
-        send(writeCount, urgent,
-                () -> outside.call(addr, "POST", "/commit", transaction, patienceMs(), reply));
+        send(writeCount, urgent, () -> outside.call(addr, "POST", "/commit", transaction, patienceMs(), reply));
     }
 
     /** Asks for a lease. */
     public void lease(long lifeMs, Outside.Reply reply) {
-        send(0, true, () -> outside.call(addr, "POST", "/leases", Wire.map().put("life_ms", lifeMs),
-                patienceMs(), reply));
+        send(
+                0,
+                true,
+                () -> outside.call(addr, "POST", "/leases", Wire.map().put("life_ms", lifeMs), patienceMs(), reply));
     }
 
     /** Renews a lease; not queued, as its time counts from the sending. */
@@ -136,9 +142,16 @@
 
     /** Waits for changes below a prefix. */
     public void watch(String prefix, long from, long blockMs, Outside.Reply reply) {
-        send(0, true, () -> outside.call(addr, "GET",
-                "/watch?starts=" + prefix + "&from=" + from + "&block_ms=" + blockMs, null,
-                blockMs + 2 * patienceMs(), reply));
+        send(
+                0,
+                true,
+                () -> outside.call(
+                        addr,
+                        "GET",
+                        "/watch?starts=" + prefix + "&from=" + from + "&block_ms=" + blockMs,
+                        null,
+                        blockMs + 2 * patienceMs(),
+                        reply));
     }
 
     private void send(int writeCount, boolean urgent, Runnable send) {
--- a/src/main/java/stileferry/transport/Bodies.java
+++ b/src/main/java/stileferry/transport/Bodies.java
@@ -13,9 +13,7 @@
             return;
         }
         exchange.setMaxEntitySize(limit); // also for bodies in chunks, whose length nobody announces
-        exchange.getRequestReceiver().receiveFullBytes(
-                (e, body) -> handler.accept(body),
-                (e, problem) -> tooLarge(e));
+        exchange.getRequestReceiver().receiveFullBytes((e, body) -> handler.accept(body), (e, problem) -> tooLarge(e));
     }
 
     private static void tooLarge(HttpServerExchange exchange) {
--- a/src/main/java/stileferry/transport/HttpCaller.java
+++ b/src/main/java/stileferry/transport/HttpCaller.java
@@ -40,6 +40,7 @@
 
     /** Idle connections with their addresses, the least lately used first. */
     private final LinkedHashMap<ClientConnection, String> byUse = new LinkedHashMap<>();
+
     private final int maxIdle;
 
     /** Takes an answer. */
@@ -83,7 +84,8 @@
         kept.addLast(connection);
         byUse.put(connection, addr);
         if (byUse.size() > maxIdle) {
-            Map.Entry<ClientConnection, String> eldest = byUse.entrySet().iterator().next();
+            Map.Entry<ClientConnection, String> eldest =
+                    byUse.entrySet().iterator().next();
             ArrayDeque<ClientConnection> there = idle.get(eldest.getValue());
             there.remove(eldest.getKey());
             if (there.isEmpty()) {
@@ -122,27 +124,33 @@
                 send(reuse);
                 return;
             }
-            client.connect(new ClientCallback<>() {
-                @Override
-                public void completed(ClientConnection c) {
-                    if (over) {
-                        IoUtils.safeClose(c);
-                    } else {
-                        send(c);
-                    }
-                }
+            client.connect(
+                    new ClientCallback<>() {
+                        @Override
+                        public void completed(ClientConnection c) {
+                            if (over) {
+                                IoUtils.safeClose(c);
+                            } else {
+                                send(c);
+                            }
+                        }
 
-                @Override
-                public void failed(IOException e) {
-                    fail();
-                }
-            }, URI.create("http://" + addr), thread, buffers, OptionMap.EMPTY);
+                        @Override
+                        public void failed(IOException e) {
+                            fail();
+                        }
+                    },
+                    URI.create("http://" + addr),
+                    thread,
+                    buffers,
+                    OptionMap.EMPTY);
         }
 
         private void send(ClientConnection c) {
             connection = c;
             sent = true;
-            ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+            ClientRequest request =
+                    new ClientRequest().setMethod(new HttpString(method)).setPath(path);
             request.getRequestHeaders().put(Headers.HOST, addr);
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
             if (body.length > 0) {
--- a/src/main/java/stileferry/transport/LogLevel.java
+++ b/src/main/java/stileferry/transport/LogLevel.java
@@ -12,8 +12,13 @@
 
     /** Kept here, since the platform forgets loggers that nobody holds. */
     private static final Logger ROOT = Logger.getLogger("");
-    private static final Logger[] QUIET = {Logger.getLogger("org.xnio"), Logger.getLogger("io.undertow"),
-        Logger.getLogger("org.jboss"), Logger.getLogger("com.netflix")};
+
+    private static final Logger[] QUIET = {
+        Logger.getLogger("org.xnio"),
+        Logger.getLogger("io.undertow"),
+        Logger.getLogger("org.jboss"),
+        Logger.getLogger("com.netflix")
+    };
 
     private static Level preset = Level.INFO;
 
--- a/src/main/java/stileferry/transport/Loop.java
+++ b/src/main/java/stileferry/transport/Loop.java
@@ -19,12 +19,13 @@
     final HttpCaller http;
 
     Loop(int idleConnections) throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 0)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
         thread = worker.getIoThread();
         http = new HttpCaller(thread, buffers, idleConnections);
     }
--- a/src/main/java/stileferry/transport/NetworkOutside.java
+++ b/src/main/java/stileferry/transport/NetworkOutside.java
@@ -27,6 +27,7 @@
 
     /** Requests that were passed on to a controller and have no answer yet, by its address. */
     private final Map<String, Integer> forwards = new HashMap<>();
+
     private volatile boolean closed;
 
     NetworkOutside(Owner owner, Loop loop, int mostForwards) {
@@ -63,18 +64,27 @@
     @Override
     public void after(long delayMs, Runnable task) {
         if (!closed) {
-            thread.executeAfter(() -> {
-                if (!owner.offer(task)) {
-                    owner.submit(task); // never lost: it goes behind what is queued
-                }
-            }, Math.max(1, delayMs), TimeUnit.MILLISECONDS);
+            thread.executeAfter(
+                    () -> {
+                        if (!owner.offer(task)) {
+                            owner.submit(task); // never lost: it goes behind what is queued
+                        }
+                    },
+                    Math.max(1, delayMs),
+                    TimeUnit.MILLISECONDS);
         }
     }
 
     @Override
     public void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply) {
-        http.call(addr, method, path, body == null ? NOTHING : Wire.encode(body), timeoutMs, (status, bytes) ->
-                owner.submit(() -> reply.done(status, bytes.length == 0 ? null : Wire.decode(bytes))));
+        http.call(
+                addr,
+                method,
+                path,
+                body == null ? NOTHING : Wire.encode(body),
+                timeoutMs,
+                (status, bytes) ->
+                        owner.submit(() -> reply.done(status, bytes.length == 0 ? null : Wire.decode(bytes))));
     }
 
     @Override
@@ -87,8 +97,13 @@
         if (forward) {
             forwards.merge(peer.addr(), 1, Integer::sum);
         }
-        http.call(peer.addr(), "POST", PEER_PATH, PeerRecord.write(record), timeoutMs, (status, bytes) ->
-                owner.submit(() -> {
+        http.call(
+                peer.addr(),
+                "POST",
+                PEER_PATH,
+                PeerRecord.write(record),
+                timeoutMs,
+                (status, bytes) -> owner.submit(() -> {
                     if (forward) {
                         forwards.merge(peer.addr(), -1, Integer::sum);
                     }
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -41,7 +41,10 @@
         try {
             return opening.get();
         } catch (ExecutionException e) {
-            throw new IOException(e.getCause().getCause() == null ? e.getCause() : e.getCause().getCause());
+            throw new IOException(
+                    e.getCause().getCause() == null
+                            ? e.getCause()
+                            : e.getCause().getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting");
@@ -50,14 +53,17 @@
 
     private Node(Settings settings, Loop loop) {
         this.loop = loop;
-        idleMs = (int) Math.max(LEAST_IDLE_MS, IDLE_REPORTS * 1000 * settings.workers().reportS());
+        idleMs = (int)
+                Math.max(LEAST_IDLE_MS, IDLE_REPORTS * 1000 * settings.workers().reportS());
         Sockets sockets = settings.sockets();
         owner = new Owner(loop.thread);
         outside = new NetworkOutside(owner, loop, sockets.forwards());
         Coordinator coordinator = new Coordinator(settings, outside);
         owner.afterBatch(coordinator::endOfBatch);
         peers = server(settings.peerListen(), sockets.peers(), new PeerServer(owner, coordinator));
-        users = server(settings.clientListen(), sockets.incoming(),
+        users = server(
+                settings.clientListen(),
+                sockets.incoming(),
                 new UserServer(owner, coordinator, UserLimit.create(), sockets, this::openConnections));
         try {
             peers.start();
--- a/src/main/java/stileferry/transport/Owner.java
+++ b/src/main/java/stileferry/transport/Owner.java
@@ -15,7 +15,7 @@
     private final XnioIoThread thread;
     private final ManyToOneConcurrentArrayQueue<Runnable> queue = new ManyToOneConcurrentArrayQueue<>(CAPACITY);
     private final AtomicBoolean scheduled = new AtomicBoolean();
-    private Runnable afterBatch = () -> { };
+    private Runnable afterBatch = () -> {};
     private volatile boolean closed;
 
     /** A batch is being carried out; only looked at on the IO thread. */
@@ -82,7 +82,8 @@
             }
             run(afterBatch);
         } finally {
-            draining = false; // also after an error that is not caught here, else nothing would ever be carried out again
+            draining =
+                    false; // also after an error that is not caught here, else nothing would ever be carried out again
         }
         if (!queue.isEmpty()) {
             schedule();
--- a/src/main/java/stileferry/transport/PeerServer.java
+++ b/src/main/java/stileferry/transport/PeerServer.java
@@ -30,8 +30,8 @@
                 return;
             }
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                if (!owner.offer(() -> coordinator.peer(record, answer ->
-                        UserServer.send(exchange, 200, 0, PeerRecord.write(answer))))) {
+                if (!owner.offer(() -> coordinator.peer(
+                        record, answer -> UserServer.send(exchange, 200, 0, PeerRecord.write(answer))))) {
                     UserServer.refuse(exchange, 503, "too much to do, try again");
                 }
             });
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -64,7 +64,9 @@
         this.controllers = List.copyOf(controllers);
         this.names = List.copyOf(names);
         this.cloud = new Cloud(TYPE, 8, 32, 1, List.of("a", "b"), size.machines() / 4, 500, this::boot, this::remove);
-        Undertow.Builder builder = Undertow.builder().setWorker(loop.worker).setByteBufferPool(loop.buffers)
+        Undertow.Builder builder = Undertow.builder()
+                .setWorker(loop.worker)
+                .setByteBufferPool(loop.buffers)
                 .setHandler(this::handle);
         builder.addHttpListener(port, "127.0.0.1");
         for (int i = 1; i <= size.machines(); i++) {
@@ -99,35 +101,50 @@
     }
 
     private void handle(HttpServerExchange exchange) {
-        Bodies.read(exchange, Wire.MAX_BODY, bytes -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-            JsonNode body = bytes.length == 0 ? Wire.map() : Wire.decode(bytes);
-            String path = exchange.getRequestPath();
-            String full = exchange.getQueryString().isEmpty() ? path : path + "?" + exchange.getQueryString();
-            String method = exchange.getRequestMethod().toString();
-            Outside.Reply reply = (status, answer) ->
-                    UserServer.send(exchange, status, 0, answer == null ? NOTHING : Wire.encode(answer));
-            if (path.equals("/commands")) {
-                String host = exchange.getDestinationAddress().getAddress().getHostAddress();
-                Worker worker = workers.get(host + ":" + port);
-                if (worker == null) {
-                    reply.done(404, null);
-                } else {
-                    int status = worker.commands(body);
-                    reply.done(status, status == 400 ? null : worker.report());
-                }
-            } else if (path.equals("/machine_types") || path.startsWith("/hosts")) {
-                cloud.request(method, full, body, reply);
-            } else {
-                state.request(method, full, body, reply);
-            }
-        }));
+        Bodies.read(
+                exchange,
+                Wire.MAX_BODY,
+                bytes -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                    JsonNode body = bytes.length == 0 ? Wire.map() : Wire.decode(bytes);
+                    String path = exchange.getRequestPath();
+                    String full = exchange.getQueryString().isEmpty() ? path : path + "?" + exchange.getQueryString();
+                    String method = exchange.getRequestMethod().toString();
+                    Outside.Reply reply = (status, answer) ->
+                            UserServer.send(exchange, status, 0, answer == null ? NOTHING : Wire.encode(answer));
+                    if (path.equals("/commands")) {
+                        String host =
+                                exchange.getDestinationAddress().getAddress().getHostAddress();
+                        Worker worker = workers.get(host + ":" + port);
+                        if (worker == null) {
+                            reply.done(404, null);
+                        } else {
+                            int status = worker.commands(body);
+                            reply.done(status, status == 400 ? null : worker.report());
+                        }
+                    } else if (path.equals("/machine_types") || path.startsWith("/hosts")) {
+                        cloud.request(method, full, body, reply);
+                    } else {
+                        state.request(method, full, body, reply);
+                    }
+                }));
     }
 
     private Worker boot(String machine, String place) {
         String[] parts = place.split("\\|");
         String addr = workerHost(1 + addresses++ % size.machines()) + ":" + port;
-        Worker worker = new Worker(machine, addr, TYPE, parts[0], parts[1].equals("true"), 8, 32, size.leaseMs(), now(),
-                this::job, Worker.Watcher.NOBODY, gangs);
+        Worker worker = new Worker(
+                machine,
+                addr,
+                TYPE,
+                parts[0],
+                parts[1].equals("true"),
+                8,
+                32,
+                size.leaseMs(),
+                now(),
+                this::job,
+                Worker.Watcher.NOBODY,
+                gangs);
         workers.put(addr, worker);
         report(worker, 0);
         return worker;
@@ -153,10 +170,12 @@
         }
         long sentAt = now();
         long session = worker.session();
-        loop.http.call(controllers.get(to), "POST", "/v1/report", Wire.encode(worker.report()), 4000,
-                (status, bytes) -> {
+        loop.http.call(
+                controllers.get(to), "POST", "/v1/report", Wire.encode(worker.report()), 4000, (status, bytes) -> {
                     JsonNode body = bytes.length == 0 ? null : Wire.decode(bytes);
-                    int named = body == null ? -1 : names.indexOf(body.path("harbormaster").asText());
+                    int named = body == null
+                            ? -1
+                            : names.indexOf(body.path("harbormaster").asText());
                     if (status == 200) {
                         worker.answered(body, session, sentAt);
                         later(size.reportMs(), worker, to);
--- a/src/main/java/stileferry/transport/UserClient.java
+++ b/src/main/java/stileferry/transport/UserClient.java
@@ -32,8 +32,13 @@
     public Answer once(String method, String path, byte[] body) throws InterruptedException {
         String addr = addrs.get(Math.floorMod(next++, addrs.size()));
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        loop.thread.execute(() -> loop.http.call(addr, method, path, body, ANSWER_MS, (status, bytes) ->
-                answer.complete(new Answer(status, bytes.length == 0 ? null : Wire.decode(bytes)))));
+        loop.thread.execute(() -> loop.http.call(
+                addr,
+                method,
+                path,
+                body,
+                ANSWER_MS,
+                (status, bytes) -> answer.complete(new Answer(status, bytes.length == 0 ? null : Wire.decode(bytes)))));
         try {
             return answer.get(2 * ANSWER_MS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
--- a/src/main/java/stileferry/transport/UserLimit.java
+++ b/src/main/java/stileferry/transport/UserLimit.java
@@ -20,7 +20,11 @@
     static Limiter<Void> create(LongSupplier nanos) {
         return SimpleLimiter.newBuilder()
                 .nanoClock(nanos)
-                .limit(Gradient2Limit.newBuilder().minLimit(LEAST).initialLimit(FIRST).maxConcurrency(MOST).build())
+                .limit(Gradient2Limit.newBuilder()
+                        .minLimit(LEAST)
+                        .initialLimit(FIRST)
+                        .maxConcurrency(MOST)
+                        .build())
                 .build();
     }
 }
--- a/src/main/java/stileferry/transport/UserServer.java
+++ b/src/main/java/stileferry/transport/UserServer.java
@@ -97,14 +97,17 @@
             send(exchange, 503, 1, TOO_MUCH);
             return;
         }
-        owned(exchange, () -> coordinator.user(ask, id, body, answer -> {
-            if (answer.status() == 503) {
-                slot.get().onIgnore(); // says nothing about how long an answer takes
-            } else {
-                slot.get().onSuccess();
-            }
-            send(exchange, answer);
-        }), slot.get()::onDropped);
+        owned(
+                exchange,
+                () -> coordinator.user(ask, id, body, answer -> {
+                    if (answer.status() == 503) {
+                        slot.get().onIgnore(); // says nothing about how long an answer takes
+                    } else {
+                        slot.get().onSuccess();
+                    }
+                    send(exchange, answer);
+                }),
+                slot.get()::onDropped);
     }
 
     private void admin(HttpServerExchange exchange, String method, String path, byte[] body) {
@@ -112,12 +115,11 @@
     }
 
     private void report(HttpServerExchange exchange, byte[] body) {
-        owned(exchange, () -> coordinator.report(body,
-                (status, answer) -> send(exchange, status, 0, answer)));
+        owned(exchange, () -> coordinator.report(body, (status, answer) -> send(exchange, status, 0, answer)));
     }
 
     private void owned(HttpServerExchange exchange, Runnable command) {
-        owned(exchange, command, () -> { });
+        owned(exchange, command, () -> {});
     }
 
     /** Hands the request to the owner; the exchange stays open until somebody sends. */
