--- a/src/main/java/stileferry/cli/AdminCommand.java
+++ b/src/main/java/stileferry/cli/AdminCommand.java
@@ -14,7 +14,7 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import stileferry.protocol.Wire;
+import stileferry.protocol.MessageCodec;
 
 /** Operators' settings and views. */
 @Command(
@@ -89,10 +89,10 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            ObjectNode body = Wire.map().put("revision", revision);
+            ObjectNode body = MessageCodec.map().put("revision", revision);
             ObjectNode values = body.putObject("change");
             change.forEach((name, value) -> values.set(name, value(value)));
-            return connection.ask("POST", "/admin/settings", Wire.encode(body), AdminCommand::settings);
+            return connection.ask("POST", "/admin/settings", MessageCodec.encode(body), AdminCommand::settings);
         }
 
         /** Numbers and true or false are taken as such, everything else as text. */
@@ -124,11 +124,11 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            ObjectNode body = Wire.map().put("revision", revision);
+            ObjectNode body = MessageCodec.map().put("revision", revision);
             if (names != null) {
                 names.forEach(body.putArray("names")::add);
             }
-            return connection.ask("POST", "/admin/settings/reset", Wire.encode(body), AdminCommand::settings);
+            return connection.ask("POST", "/admin/settings/reset", MessageCodec.encode(body), AdminCommand::settings);
         }
     }
 
--- a/src/main/java/stileferry/cli/Rehearsal.java
+++ b/src/main/java/stileferry/cli/Rehearsal.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import stileferry.Controller;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
-import stileferry.protocol.Wire;
 import stileferry.transport.LogLevel;
 import stileferry.transport.StandInHost;
 import stileferry.transport.UserClient;
@@ -64,7 +64,7 @@
         await(user, number + 2, "running");
         user.ask("POST", "/work/job-" + (number + 2) + "/withdraw", NOTHING, 10_000);
         await(user, number + 2, "cancelled");
-        user.ask("POST", "/work", Wire.encode(Messages.error("not a job")), 1000);
+        user.ask("POST", "/work", MessageCodec.encode(Messages.error("not a job")), 1000);
         user.ask("GET", "/work/job-99", NOTHING, 1000);
         user.ask("GET", "/ready", NOTHING, 1000);
         user.ask("GET", "/elsewhere", NOTHING, 1000);
@@ -94,7 +94,7 @@
                 0,
                 0,
                 -1);
-        user.ask("POST", "/work", Wire.encode(job.write()), 10_000);
+        user.ask("POST", "/work", MessageCodec.encode(job.write()), 10_000);
     }
 
     private static void await(UserClient user, int number, String state) throws InterruptedException {
--- a/src/main/java/stileferry/cli/Submit.java
+++ b/src/main/java/stileferry/cli/Submit.java
@@ -11,7 +11,7 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import stileferry.protocol.JobSpec;
-import stileferry.protocol.Wire;
+import stileferry.protocol.MessageCodec;
 
 /** Submits a job. */
 @Command(
@@ -90,7 +90,7 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         JsonNode body = file == null ? fromFlags() : new ObjectMapper().readTree(Files.readString(file));
-        return connection.ask("POST", "/work", Wire.encode(body), JobText::of);
+        return connection.ask("POST", "/work", MessageCodec.encode(body), JobText::of);
     }
 
     private JsonNode fromFlags() {
--- a/src/main/java/stileferry/coordination/Admin.java
+++ b/src/main/java/stileferry/coordination/Admin.java
@@ -7,11 +7,11 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Options;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 import stileferry.storage.Ledger;
 
 /** The administration API at the leader: the operators' settings, and views of what the leader knows. */
@@ -19,9 +19,9 @@
     static final String KEY = Leadership.PREFIX + "options";
 
     /** Answers stay well below the limit of a body. */
-    private static final int MAX_BYTES = Wire.MAX_BODY / 2;
+    private static final int MAX_BYTES = MessageCodec.MAX_BODY / 2;
 
-    private final Board board;
+    private final ClusterState cluster;
     private final Placement placement;
     private final Ledger ledger;
     private final Ledger.Entry entry;
@@ -31,19 +31,19 @@
 
     /** The row is what the state service holds; the consumer takes up settings once they are durable. */
     Admin(
-            Board board,
+            ClusterState cluster,
             Placement placement,
             Ledger ledger,
             long revision,
             Supplier<ObjectNode> leader,
             Consumer<Options> taken) {
-        this.board = board;
+        this.cluster = cluster;
         this.placement = placement;
         this.ledger = ledger;
         this.entry = new Ledger.Entry(KEY, revision, () -> pending.write());
         this.leader = leader;
         this.taken = taken;
-        this.pending = board.options;
+        this.pending = cluster.options;
     }
 
     /** Answers a request; the path has no prefix, the method is GET or POST. */
@@ -59,7 +59,7 @@
         switch (path) {
             case "settings" -> {
                 if (get) {
-                    reply.accept(Users.ok(200, board.options.describe()));
+                    reply.accept(Users.ok(200, cluster.options.describe()));
                 } else {
                     change(bytes, false, reply);
                 }
@@ -84,7 +84,7 @@
     }
 
     private void change(byte[] bytes, boolean reset, Consumer<PeerRecord.Answer> reply) {
-        JsonNode body = Wire.decode(bytes);
+        JsonNode body = MessageCodec.decode(bytes);
         if (body == null || !body.isObject() || !body.path("revision").isIntegralNumber()) {
             reply.accept(Users.refusal(400, "revision: missing or not a whole number"));
             return;
@@ -108,11 +108,11 @@
     }
 
     private ObjectNode machines(String from, long now) {
-        ObjectNode answer = Wire.map();
+        ObjectNode answer = MessageCodec.map();
         ArrayNode list = answer.putArray("machines");
         int bytes = 0;
         boolean more = false;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.name.compareTo(from) <= 0) {
                 continue;
             }
@@ -147,7 +147,7 @@
     }
 
     private ObjectNode queue(String from, long now, long timeOfDay) {
-        ObjectNode answer = Wire.map();
+        ObjectNode answer = MessageCodec.map();
         ArrayNode list = answer.putArray("queue");
         int skip = from.matches("[0-9]{1,9}") ? Integer.parseInt(from) : 0;
         int bytes = 0;
@@ -178,20 +178,20 @@
     }
 
     private ObjectNode teams() {
-        ObjectNode answer = Wire.map();
+        ObjectNode answer = MessageCodec.map();
         ArrayNode list = answer.putArray("teams");
         List<JobSpec.Priority> priorities = List.of(JobSpec.Priority.values());
-        for (Settings.Team team : board.settings.teams()) {
+        for (Settings.Team team : cluster.settings.teams()) {
             ObjectNode o = list.addObject()
                     .put("name", team.name())
                     .put("cpus", team.cpus())
                     .put("cpus_max", team.cpusMax())
-                    .put("cpus_in_use", board.cpusOf(team.name()))
+                    .put("cpus_in_use", cluster.cpusOf(team.name()))
                     .put("gpus", team.gpus())
                     .put("gpus_max", team.gpusMax())
-                    .put("gpus_in_use", board.gpusOf(team.name()));
+                    .put("gpus_in_use", cluster.gpusOf(team.name()));
             int[] waiting = new int[priorities.size()];
-            for (Job job : board.jobs.values()) {
+            for (Job job : cluster.jobs.values()) {
                 if (job.spec.team().equals(team.name())) {
                     waiting[job.spec.priority().ordinal()] += job.waitingCount();
                 }
@@ -204,6 +204,6 @@
 
     /** What a request that can't be answered now gets. */
     static PeerRecord.Answer unavailable() {
-        return new PeerRecord.Answer(503, 1, Wire.encode(Messages.error("no leader, or not sure of it")));
+        return new PeerRecord.Answer(503, 1, MessageCodec.encode(Messages.error("no leader, or not sure of it")));
     }
 }
--- a/src/main/java/stileferry/coordination/Cancellations.java
+++ b/src/main/java/stileferry/coordination/Cancellations.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import stileferry.protocol.Environment;
 import stileferry.protocol.Messages.Signal;
-import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
 import stileferry.protocol.Settings;
@@ -27,7 +27,7 @@
     /** Jobs are remembered for so many times as long as their tasks may last after the last that was heard of them. */
     private static final int REMEMBERED = 2;
 
-    private final Outside outside;
+    private final Environment environment;
     private final long process;
     private final long rememberedMs;
 
@@ -67,9 +67,9 @@
         }
     }
 
-    Cancellations(Outside outside, Settings settings) {
-        this.outside = outside;
-        this.process = 1 + outside.random().nextLong(Long.MAX_VALUE - 1);
+    Cancellations(Environment environment, Settings settings) {
+        this.environment = environment;
+        this.process = 1 + environment.random().nextLong(Long.MAX_VALUE - 1);
         this.peers = new Peer[settings.peers().size()];
         for (int i = 0; i < peers.length; i++) {
             peers[i] = new Peer();
@@ -89,7 +89,7 @@
     /** Takes in that a job's cancellation is durable. */
     void add(String id) {
         known.remove(id);
-        known.put(id, outside.now());
+        known.put(id, environment.now());
     }
 
     /** Stops for the tasks of cancelled jobs that a report tells of. */
@@ -129,7 +129,7 @@
             return -1;
         }
         if (others == 0) {
-            return outside.now();
+            return environment.now();
         }
         long[] affirmed =
                 Arrays.stream(peers).mapToLong(p -> p.affirmedAt).sorted().toArray();
@@ -238,7 +238,7 @@
     }
 
     private List<String> lately() {
-        long before = outside.now() - rememberedMs;
+        long before = environment.now() - rememberedMs;
         known.values().removeIf(at -> at < before);
         return List.copyOf(known.keySet());
     }
--- a/src/main/java/stileferry/coordination/CloudClient.java
+++ b/src/main/java/stileferry/coordination/CloudClient.java
@@ -1,7 +1,7 @@
 package stileferry.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 import stileferry.storage.Budget;
 
 /** Calls to the cloud within its rate, for one term. */
@@ -10,15 +10,15 @@
     private static final double BURST_S = 1.5;
     private static final long TIMEOUT_MS = 5000;
 
-    private final Outside outside;
+    private final Environment environment;
     private final String address;
     private final Budget budget;
     private boolean closed;
 
-    CloudClient(Outside outside, String address, double callsPerSecond) {
-        this.outside = outside;
+    CloudClient(Environment environment, String address, double callsPerSecond) {
+        this.environment = environment;
         this.address = address;
-        this.budget = new Budget(outside, callsPerSecond * RATE_SHARE, BURST_S);
+        this.budget = new Budget(environment, callsPerSecond * RATE_SHARE, BURST_S);
     }
 
     /** From now on no answer is passed on. */
@@ -31,8 +31,8 @@
         return budget.take(1, 0);
     }
 
-    void call(String method, String path, ObjectNode body, Outside.Reply reply) {
-        outside.call(address, method, path, body, TIMEOUT_MS, (status, answer) -> {
+    void call(String method, String path, ObjectNode body, Environment.Reply reply) {
+        environment.call(address, method, path, body, TIMEOUT_MS, (status, answer) -> {
             if (!closed) {
                 reply.done(status, answer);
             }
--- a/src/main/java/stileferry/coordination/Board.java
+++ b/src/main/java/stileferry/coordination/ClusterState.java
@@ -15,14 +15,14 @@
 import stileferry.protocol.Settings;
 
 /** What the leader knows in one term: the jobs that are not over, the machines, and the teams' use. */
-final class Board {
+final class ClusterState {
     private static final double EPSILON = 1e-6;
     private static final int DELETED_REMEMBERED = 4096;
 
     final Settings settings;
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Machine> machines = new TreeMap<>();
-    final Rooms rooms = new Rooms();
+    final FreeCapacityIndex rooms = new FreeCapacityIndex();
     final Reservations reservations = new Reservations();
 
     /** Accepted jobs whose records can't be read. */
@@ -47,7 +47,7 @@
     private final Map<String, double[]> use = new HashMap<>();
     private final int[] claimsOf = new int[JobSpec.Priority.values().length];
 
-    Board(Settings settings) {
+    ClusterState(Settings settings) {
         this.settings = settings;
         for (Settings.Team team : settings.teams()) {
             use.put(team.name(), new double[3]);
--- a/src/main/java/stileferry/coordination/CommandSender.java
+++ b/src/main/java/stileferry/coordination/CommandSender.java
@@ -5,10 +5,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Messages.Signal;
-import stileferry.protocol.Outside;
 import stileferry.protocol.Report;
 
 /** Decides what workers shall do, and sends it to them without waiting for their reports where that is worth it. */
@@ -27,11 +27,11 @@
     /** So many times fewer announcements when there is too much to do. */
     private static final int FEWER_WHEN_BEHIND = 5;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Leadership leadership;
     private final long term;
-    private final Lateness lateness;
+    private final EventLoopLag eventLoopLag;
     private final Answers answers;
     private final long reportMs;
     private final long cancelMs;
@@ -49,17 +49,23 @@
         void answered(Machine machine, Report report);
     }
 
-    CommandSender(Board board, Outside outside, Leadership leadership, long term, Lateness lateness, Answers answers) {
-        this.board = board;
-        this.outside = outside;
+    CommandSender(
+            ClusterState cluster,
+            Environment environment,
+            Leadership leadership,
+            long term,
+            EventLoopLag eventLoopLag,
+            Answers answers) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.leadership = leadership;
         this.term = term;
-        this.lateness = lateness;
+        this.eventLoopLag = eventLoopLag;
         this.answers = answers;
-        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
-        this.cancelMs = Math.round(board.settings.workers().cancelS() * 1000);
+        this.reportMs = Math.round(cluster.settings.workers().reportS() * 1000);
+        this.cancelMs = Math.round(cluster.settings.workers().cancelS() * 1000);
         this.askMs = Math.max(LEAST_ASK_MS, Math.round(reportMs * ASK_REPORTS));
-        this.maxInFlight = board.settings.sockets().commands();
+        this.maxInFlight = cluster.settings.sockets().commands();
     }
 
     void close() {
@@ -73,7 +79,7 @@
             stopCancelled(m, signals);
             return signals;
         }
-        long now = outside.now();
+        long now = environment.now();
         for (Report.TaskState t : m.lastTasks()) {
             Claim c = m.claims.get(t.task());
             boolean claimed = c != null && c.attempt == t.attempt();
@@ -138,7 +144,7 @@
 
     /** Tells every machine that was not heard yet this term, a few at a time: most will have reported before. */
     void announceTerm() {
-        board.machines.values().forEach(m -> {
+        cluster.machines.values().forEach(m -> {
             if (!m.heard) {
                 toAnnounceTo.add(m);
             }
@@ -147,8 +153,8 @@
     }
 
     private void announceToSome() {
-        int some = LEAST_ANNOUNCEMENTS + (int) (board.machines.size() * ANNOUNCE_MS / (2 * reportMs));
-        if (lateness.behind()) {
+        int some = LEAST_ANNOUNCEMENTS + (int) (cluster.machines.size() * ANNOUNCE_MS / (2 * reportMs));
+        if (eventLoopLag.behind()) {
             some = Math.max(1, some / FEWER_WHEN_BEHIND); // most will come by themselves
         }
         while (!closed && some > 0 && !toAnnounceTo.isEmpty() && mayAsk()) {
@@ -159,7 +165,7 @@
             }
         }
         if (!closed && !toAnnounceTo.isEmpty()) {
-            outside.after(ANNOUNCE_MS, this::announceToSome);
+            environment.after(ANNOUNCE_MS, this::announceToSome);
         }
     }
 
@@ -170,8 +176,8 @@
 
     /** Notes machines in doubt, to be asked whether they hear us, and silent ones, whether they are there. */
     void probe() {
-        long now = outside.now();
-        for (Machine m : board.machines.values()) {
+        long now = environment.now();
+        for (Machine m : cluster.machines.values()) {
             boolean doubtful = m.unreachedSince != 0 && now - m.unreachedSince > reportMs / 2;
             boolean silent =
                     m.heard && !m.claims.isEmpty() && now - m.heardAt > FailureDetector.SILENT_AFTER_REPORTS * reportMs;
@@ -207,8 +213,8 @@
             if (!m.heard
                     || m.deleting
                     || m.addr.isEmpty()
-                    || outside.now() - m.heardAt > 2 * reportMs
-                    || lateness.behind() && !hurry(m)) {
+                    || environment.now() - m.heardAt > 2 * reportMs
+                    || eventLoopLag.behind() && !hurry(m)) {
                 continue;
             }
             List<Signal> signals = signals(m, false);
@@ -255,13 +261,13 @@
 
     private void command(Machine m, long session, List<Signal> signals, int tries, long timeoutMs) {
         inFlight.add(m);
-        outside.call(
+        environment.call(
                 m.addr, "POST", "/commands", Messages.commands(term, session, signals), timeoutMs, (status, body) -> {
                     inFlight.remove(m);
                     if (closed) {
                         return;
                     }
-                    if (status == 200 || status == 409 || status == Outside.NOT_SENT) {
+                    if (status == 200 || status == 409 || status == Environment.NOT_SENT) {
                         for (Signal s : signals) {
                             if (s.kind() == Signal.Kind.RUN) {
                                 m.openRuns.computeIfPresent(s.key(), (a, n) -> n == 1 ? null : n - 1);
--- a/src/main/java/stileferry/coordination/Consolidation.java
+++ b/src/main/java/stileferry/coordination/Consolidation.java
@@ -31,13 +31,13 @@
     /** A replica runs this long before it is moved: a start that is undone sooner counts for nothing. */
     private static final long MIN_RUN_MS = 35_000;
 
-    private final Board board;
+    private final ClusterState cluster;
     private final Placement placement;
     private final Consumer<Claim> mover;
     private long calmSince;
 
-    Consolidation(Board board, Placement placement, long now, Consumer<Claim> mover) {
-        this.board = board;
+    Consolidation(ClusterState cluster, Placement placement, long now, Consumer<Claim> mover) {
+        this.cluster = cluster;
         this.placement = placement;
         this.calmSince = now;
         this.mover = mover;
@@ -47,7 +47,7 @@
     void step(List<Job> waiting, long now) {
         double wanted = 0;
         for (Job job : waiting) {
-            if (board.withinLimit(job)) {
+            if (cluster.withinLimit(job)) {
                 wanted += job.waitingCount() * job.spec.cpus();
             }
         }
@@ -55,7 +55,7 @@
         List<Machine> others = new ArrayList<>();
         double all = 0;
         double free = 0;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.draining && !m.deleting) {
                 emptying.add(m);
             } else if (m.usable() && !m.claims.isEmpty()) {
@@ -73,7 +73,7 @@
             giveBack(emptying, wanted);
         } else {
             move(emptying, now);
-            choose(others, 1 + (int) (board.machines.size() * EMPTYING_SHARE) - emptying.size(), free, all, now);
+            choose(others, 1 + (int) (cluster.machines.size() * EMPTYING_SHARE) - emptying.size(), free, all, now);
         }
     }
 
@@ -99,7 +99,7 @@
         machines.sort(Comparator.comparingDouble(Machine::usedCpus).thenComparing(m -> m));
         double free = freeNow;
         for (Machine m : machines.subList(0, Math.max(0, Math.min(most, machines.size())))) {
-            double keep = Math.max(m.type.cpus(), all * board.options.number(Options.EMPTY_SHARE));
+            double keep = Math.max(m.type.cpus(), all * cluster.options.number(Options.EMPTY_SHARE));
             double elsewhere = free - free(m);
             if (now - calmSince < CALM_BOOTS * 1000 * m.type.bootS() || elsewhere < m.usedCpus() + keep) {
                 return;
@@ -116,7 +116,7 @@
 
     /** Moves one service task of a machine at a time, once only services are left there. */
     private void move(List<Machine> emptying, long now) {
-        int moves = 1 + (int) (board.machines.size() * MOVING_SHARE);
+        int moves = 1 + (int) (cluster.machines.size() * MOVING_SHARE);
         for (Machine from : emptying) {
             Claim next = moves == 0 ? null : next(from, now);
             if (next != null && elsewhere(next, from, now)) {
@@ -139,7 +139,7 @@
 
     private boolean elsewhere(Claim claim, Machine from, long now) {
         boolean[] found = new boolean[1];
-        board.rooms.atLeast(
+        cluster.rooms.atLeast(
                 claim.job.spec.cpus(),
                 m -> found[0] |= m != from
                         && m.hasImage(claim.job.spec.image())
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -8,19 +8,19 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.MachineType;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Options;
-import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 import stileferry.storage.StateClient;
 
 /**
  * The single owner of one controller's state. Every method runs on the owner's turn; replies may come in a later
- * turn. Given the same calls and the same {@link Outside}, it does the same.
+ * turn. Given the same calls and the same {@link Environment}, it does the same.
  */
 public final class Coordinator implements Leadership.Listener {
     private static final Logger LOG = LoggerFactory.getLogger("coordinator");
@@ -32,16 +32,16 @@
     private static final int WORKERS_REMEMBERED = 10_000;
 
     private final Settings settings;
-    private final Outside outside;
+    private final Environment environment;
     private final StateClient state;
     private final Leadership leadership;
-    private final EndedJobs ended = new EndedJobs();
+    private final EndedJobCache ended = new EndedJobCache();
     private final Counters counters = new Counters();
     private final long reportMs;
     private final long leaseMs;
     private final long startedAt;
-    private final Caretaker caretaker;
-    private final Lateness lateness;
+    private final LeaderlessRenewal leaderlessRenewal;
+    private final EventLoopLag eventLoopLag;
 
     /** Workers that were sent to the leader: when, and to whom. */
     private final Cache<String, Sent> sentAway = CacheBuilder.newBuilder()
@@ -56,27 +56,27 @@
     private record Sent(String leader, long at) {}
 
     /** A coordinator for one controller. */
-    public Coordinator(Settings settings, Outside outside) {
+    public Coordinator(Settings settings, Environment environment) {
         this.settings = settings;
-        this.outside = outside;
-        this.state = new StateClient(outside, settings);
-        this.leadership = new Leadership(outside, state, settings, this);
+        this.environment = environment;
+        this.state = new StateClient(environment, settings);
+        this.leadership = new Leadership(environment, state, settings, this);
         this.reportMs = Math.round(settings.workers().reportS() * 1000);
         this.leaseMs = Math.round(settings.workers().leaseS() * 1000);
-        this.startedAt = outside.now();
-        this.lateness = new Lateness(outside, settings.workers().reportS());
-        this.caretaker = new Caretaker(outside, leadership, settings.peers());
+        this.startedAt = environment.now();
+        this.eventLoopLag = new EventLoopLag(environment, settings.workers().reportS());
+        this.leaderlessRenewal = new LeaderlessRenewal(environment, leadership, settings.peers());
     }
 
     /** Begins to follow or run for the leadership. */
     public void start() {
-        lateness.start();
+        eventLoopLag.start();
         leadership.start();
         askTypes();
     }
 
     private void askTypes() {
-        outside.call(settings.cloudAddr(), "GET", "/machine_types", null, 5000, (status, body) -> {
+        environment.call(settings.cloudAddr(), "GET", "/machine_types", null, 5000, (status, body) -> {
             List<MachineType> read = status == 200 && body != null ? MachineType.readAll(body) : List.of();
             if (!read.isEmpty()) {
                 types = read;
@@ -84,13 +84,13 @@
                     leader.types(read);
                 }
             }
-            outside.after(types.isEmpty() ? 1000 + outside.random().nextLong(1000) : TYPES_MS, this::askTypes);
+            environment.after(types.isEmpty() ? 1000 + environment.random().nextLong(1000) : TYPES_MS, this::askTypes);
         });
     }
 
     @Override
     public void elected(long term, long leaderRevision) {
-        leader = new Leader(settings, outside, state, leadership, ended, types, term, leaderRevision, lateness);
+        leader = new Leader(settings, environment, state, leadership, ended, types, term, leaderRevision, eventLoopLag);
     }
 
     @Override
@@ -103,7 +103,7 @@
 
     @Override
     public void options(JsonNode stored) {
-        outside.logLevel(Options.read(stored).text(Options.LOG_LEVEL));
+        environment.logLevel(Options.read(stored).text(Options.LOG_LEVEL));
     }
 
     /** Called after each batch of commands. */
@@ -115,7 +115,7 @@
 
     /** Whether users should be sent here: a leader is, or was just now, within reach. */
     public boolean ready() {
-        long now = outside.now();
+        long now = environment.now();
         if (leader != null && leader.active()) {
             leaderSeenAt = now;
         } else if (leadership.leaderPeer() != null) {
@@ -133,9 +133,9 @@
 
     /** Takes a user's request: here when this node leads, else by way of the leader. */
     public void user(PeerRecord.Ask ask, String id, byte[] body, Consumer<PeerRecord.Answer> reply) {
-        long since = outside.now();
+        long since = environment.now();
         pass(ask, id, body, answer -> {
-            long took = outside.now() - since;
+            long took = environment.now() - since;
             counters.count(ask, answer.status(), took);
             if (ask == PeerRecord.Ask.SUBMIT) {
                 LOG.debug(
@@ -157,8 +157,8 @@
                             .put("node", settings.node())
                             .put("leader", leadership.leader())
                             .put("term", leadership.term())
-                            .put("late_ms", lateness.lateMs())
-                            .put("most_late_ms", lateness.mostLateMs()),
+                            .put("late_ms", eventLoopLag.lateMs())
+                            .put("most_late_ms", eventLoopLag.mostLateMs()),
                     reply);
         } else {
             user(PeerRecord.Ask.ADMIN, method + " " + path, body, reply);
@@ -177,7 +177,7 @@
         }
         // shorter than the users' own patience: 2 s for a question, 5 s for a change
         long patience = ask == PeerRecord.Ask.STATUS ? 1500 : 4000;
-        outside.peer(
+        environment.peer(
                 peer,
                 new PeerRecord.Forward(ask, id, body),
                 patience,
@@ -211,7 +211,7 @@
     public void report(byte[] body, BiConsumer<Integer, byte[]> reply) {
         Report report = leader == null ? Report.read(body) : Report.read(body, leader::lastReport);
         if (report == null) {
-            reply.accept(400, Wire.encode(Messages.error("not a report")));
+            reply.accept(400, MessageCodec.encode(Messages.error("not a report")));
         } else if (leader != null) {
             answerReport(report, reply);
         } else {
@@ -225,7 +225,7 @@
         }
         Consumer<byte[]> answered = answer -> {
             if (answer == null) {
-                reply.accept(503, Wire.encode(Messages.error("not entitled to answer this report")));
+                reply.accept(503, MessageCodec.encode(Messages.error("not entitled to answer this report")));
             } else {
                 reply.accept(200, answer);
             }
@@ -244,14 +244,14 @@
             withoutLeader(report, reply);
             return;
         }
-        long now = outside.now();
+        long now = environment.now();
         Sent sent = sentAway.getIfPresent(report.machine());
         if (sent == null || !sent.leader.equals(peer.node()) || now - sent.at > 2 * leaseMs) {
             sentAway.put(report.machine(), new Sent(peer.node(), now));
-            reply.accept(421, Wire.encode(Messages.reportTo(peer.node())));
+            reply.accept(421, MessageCodec.encode(Messages.reportTo(peer.node())));
             return;
         }
-        outside.peer(
+        environment.peer(
                 peer,
                 new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
                 Math.min(3000, reportMs),
@@ -266,10 +266,10 @@
 
     /** Nobody to send a worker to: for a short time that is no matter, later its lease has to be kept alive. */
     private void withoutLeader(Report report, BiConsumer<Integer, byte[]> reply) {
-        if (leader == null && outside.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 8) {
-            caretaker.take(report, reply);
+        if (leader == null && environment.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 8) {
+            leaderlessRenewal.take(report, reply);
         } else {
-            reply.accept(503, Wire.encode(Messages.error("no leader known")));
+            reply.accept(503, MessageCodec.encode(Messages.error("no leader known")));
         }
     }
 
--- a/src/main/java/stileferry/coordination/Counters.java
+++ b/src/main/java/stileferry/coordination/Counters.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
-import stileferry.protocol.Wire;
 
 /** What one controller has answered since its start, and how long that took. */
 final class Counters {
@@ -22,7 +22,7 @@
     }
 
     ObjectNode describe() {
-        ObjectNode n = Wire.map();
+        ObjectNode n = MessageCodec.map();
         ObjectNode counts = n.putObject("answers");
         answers.forEach(counts::put);
         ObjectNode list = n.putObject("times_ms");
--- a/src/main/java/stileferry/coordination/EndedJobs.java
+++ b/src/main/java/stileferry/coordination/EndedJobCache.java
@@ -4,11 +4,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
-import stileferry.protocol.Wire;
 
 /** Jobs that are over, as far as they were asked for lately. An ended job never changes, so nothing here is stale. */
-final class EndedJobs {
+final class EndedJobCache {
     private static final int MOST = 4096;
 
     private final Cache<String, Ended> cache =
@@ -21,7 +21,7 @@
         }
 
         ObjectNode write() {
-            return Wire.map().put("how", how).put("done", tasksDone);
+            return MessageCodec.map().put("how", how).put("done", tasksDone);
         }
 
         ObjectNode answer(String id) {
--- a/src/main/java/stileferry/coordination/Lateness.java
+++ b/src/main/java/stileferry/coordination/EventLoopLag.java
@@ -1,12 +1,12 @@
 package stileferry.coordination;
 
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 
 /**
  * How far a controller is behind with its work, as its own timers tell: a process that is given less processor time
  * than it asks for carries them out late. What can be done in a cheaper way, if somewhat later, then is.
  */
-final class Lateness {
+final class EventLoopLag {
     /** Beats in a report interval. */
     private static final int BEATS = 10;
 
@@ -19,23 +19,23 @@
     /** How much of what was seen counts again at the next beat, so that one good moment ends nothing. */
     private static final double REMEMBERED = 0.8;
 
-    private final Outside outside;
+    private final Environment environment;
     private final long beatMs;
     private final double behindMs;
     private double lateMs;
     private long most;
 
-    Lateness(Outside outside, double reportS) {
-        this.outside = outside;
+    EventLoopLag(Environment environment, double reportS) {
+        this.environment = environment;
         this.beatMs = Math.max(1, Math.round(1000 * reportS / BEATS));
         this.behindMs = 1000 * reportS * BEHIND_SHARE;
     }
 
     /** Begins to measure. */
     void start() {
-        long due = outside.now() + beatMs;
-        outside.after(beatMs, () -> {
-            long late = Math.max(0, outside.now() - due);
+        long due = environment.now() + beatMs;
+        environment.after(beatMs, () -> {
+            long late = Math.max(0, environment.now() - due);
             lateMs = Math.max(late, REMEMBERED * lateMs);
             most = Math.max(most, late);
             start();
--- a/src/main/java/stileferry/coordination/FailureDetector.java
+++ b/src/main/java/stileferry/coordination/FailureDetector.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 
 /**
  * Judges machines that are silent: whose lease has lapsed for certain, which are most likely lost, and which zones the
@@ -40,26 +40,31 @@
     /** Silent machines of a zone, as a share of all, above which the network is at fault rather than each of them. */
     private static final double LOST_SHARE = 0.5;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Leadership leadership;
     private final long term;
     private final Fleet.Events events;
-    private final Silences silences;
+    private final SilenceRecords silences;
     private final long reportMs;
     private final long leaseMs;
     private final Map<String, Long> lastUnreachable = new HashMap<>();
 
     FailureDetector(
-            Board board, Outside outside, Leadership leadership, long term, Fleet.Events events, Silences silences) {
-        this.board = board;
-        this.outside = outside;
+            ClusterState cluster,
+            Environment environment,
+            Leadership leadership,
+            long term,
+            Fleet.Events events,
+            SilenceRecords silences) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.leadership = leadership;
         this.term = term;
         this.events = events;
         this.silences = silences;
-        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
-        this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
+        this.reportMs = Math.round(cluster.settings.workers().reportS() * 1000);
+        this.leaseMs = Math.round(cluster.settings.workers().leaseS() * 1000);
     }
 
     /**
@@ -78,9 +83,9 @@
 
     /** Looks for leases that have lapsed for certain. */
     void checkLeases() {
-        long now = outside.now();
+        long now = environment.now();
         long acked = leadership.allAckedAt();
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             long over = m.session;
             for (Claim c : m.claims.values()) {
                 over = Math.max(over, c.session);
@@ -107,9 +112,9 @@
 
     /** Zones of which so many machines are silent that the network must be at fault, rather than each of them. */
     Set<String> unreachableZones(long activeSince) {
-        long before = outside.now() - Math.round(SILENT_AFTER_REPORTS * reportMs);
+        long before = environment.now() - Math.round(SILENT_AFTER_REPORTS * reportMs);
         Map<String, int[]> zones = new HashMap<>();
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.type != null && !m.deleting && !m.booting) {
                 int[] counts = zones.computeIfAbsent(m.zone, z -> new int[2]);
                 counts[0]++;
@@ -120,7 +125,7 @@
         zones.forEach((zone, counts) -> {
             if (counts[1] > Math.max(1, LOST_SHARE * counts[0])) {
                 unreachable.add(zone);
-                lastUnreachable.put(zone, outside.now());
+                lastUnreachable.put(zone, environment.now());
             }
         });
         return unreachable;
@@ -133,10 +138,11 @@
 
     /** Machines with work that are most likely gone or hang: they neither report nor answer, though their zone does. */
     List<Machine> lost(long activeSince) {
-        long forSpot = outside.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
-        long forOthers = Math.min(forSpot, outside.now() - Math.round(LATE_REPORT * reportMs) - DETOURS * DETOUR_MS);
+        long forSpot = environment.now() - Math.round(LOST_AFTER_LEASES * leaseMs);
+        long forOthers =
+                Math.min(forSpot, environment.now() - Math.round(LATE_REPORT * reportMs) - DETOURS * DETOUR_MS);
         List<Machine> silent = new ArrayList<>();
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.type != null
                     && !m.deleting
                     && !m.booting
@@ -148,7 +154,7 @@
         unreachableZones(activeSince);
         // for a lease's time machines may still be on their way back, some of them by way of the other controllers
         silent.removeIf(
-                m -> lastUnreachable.containsKey(m.zone) && outside.now() - lastUnreachable.get(m.zone) < leaseMs);
+                m -> lastUnreachable.containsKey(m.zone) && environment.now() - lastUnreachable.get(m.zone) < leaseMs);
         return silent;
     }
 
@@ -159,11 +165,11 @@
         return m.heard
                 && !m.deleting
                 && m.unreachedSince == 0
-                && outside.now() - m.heardAt <= SILENT_AFTER_REPORTS * reportMs;
+                && environment.now() - m.heardAt <= SILENT_AFTER_REPORTS * reportMs;
     }
 
     /** True when nothing was heard for longer than reports can take. */
     boolean silent(Machine m) {
-        return m.heard && outside.now() - m.heardAt > 2 * reportMs;
+        return m.heard && environment.now() - m.heardAt > 2 * reportMs;
     }
 }
--- a/src/main/java/stileferry/coordination/Fleet.java
+++ b/src/main/java/stileferry/coordination/Fleet.java
@@ -8,11 +8,11 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Messages.Signal;
-import stileferry.protocol.Outside;
 import stileferry.protocol.Report;
-import stileferry.protocol.Wire;
 
 /**
  * The workers in one term: takes their reports, decides what is proven by them, and answers with what they shall do.
@@ -21,13 +21,13 @@
 final class Fleet {
     private static final Logger LOG = LoggerFactory.getLogger("fleet");
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Leadership leadership;
     private final long term;
     private final Events events;
-    private final Silences silences;
-    private final Lateness lateness;
+    private final SilenceRecords silences;
+    private final EventLoopLag eventLoopLag;
     private final long leaseMs;
     private final byte[] nothing;
     private final FailureDetector failures;
@@ -52,25 +52,30 @@
     }
 
     Fleet(
-            Board board,
-            Outside outside,
+            ClusterState cluster,
+            Environment environment,
             Leadership leadership,
             long term,
             Events events,
-            Silences silences,
-            Lateness lateness) {
+            SilenceRecords silences,
+            EventLoopLag eventLoopLag) {
         this.silences = silences;
-        this.lateness = lateness;
-        this.board = board;
-        this.outside = outside;
+        this.eventLoopLag = eventLoopLag;
+        this.cluster = cluster;
+        this.environment = environment;
         this.leadership = leadership;
         this.term = term;
         this.events = events;
-        this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
-        this.nothing = Wire.encode(Messages.signals(term, List.of()));
-        this.failures = new FailureDetector(board, outside, leadership, term, events, silences);
+        this.leaseMs = Math.round(cluster.settings.workers().leaseS() * 1000);
+        this.nothing = MessageCodec.encode(Messages.signals(term, List.of()));
+        this.failures = new FailureDetector(cluster, environment, leadership, term, events, silences);
         this.commands = new CommandSender(
-                board, outside, leadership, term, lateness, (machine, report) -> take(machine, report, false));
+                cluster,
+                environment,
+                leadership,
+                term,
+                eventLoopLag,
+                (machine, report) -> take(machine, report, false));
     }
 
     void close() {
@@ -89,11 +94,11 @@
 
     /** Takes a report and replies with the answer's body; null when this report must not be answered with 200. */
     void report(Report r, Consumer<byte[]> reply) {
-        Machine m = mayAnswer(r) ? board.machine(r.machine()) : null;
+        Machine m = mayAnswer(r) ? cluster.machine(r.machine()) : null;
         if (m == null) {
             reply.accept(null);
         } else if (m.silence != null) {
-            m.heardAt = outside.now(); // it is there, so it is not given up, however long this takes
+            m.heardAt = environment.now(); // it is there, so it is not given up, however long this takes
             silences.heard(m, () -> reply.accept(mayAnswer(r) ? answer(m, r) : null), () -> reply.accept(null));
         } else {
             reply.accept(answer(m, r));
@@ -104,10 +109,10 @@
         if (!leadership.mayRenew()) {
             return false; // another leader may have confirmed cancellations that are unknown here
         }
-        if (board.deleted.contains(r.machine())) {
+        if (cluster.deleted.contains(r.machine())) {
             return false; // sent before the machine was deleted
         }
-        Machine m = board.machine(r.machine());
+        Machine m = cluster.machine(r.machine());
         if (m.deleting || r.session() <= m.lapsedSession) {
             return false; // its lease may not be renewed: what was on it is counted as gone, or about to be
         }
@@ -121,17 +126,17 @@
         if (m.sameAsBefore(r) && r.seq() > m.seq) {
             m.seq = r.seq();
             m.last = r;
-            m.heardAt = outside.now();
+            m.heardAt = environment.now();
             m.answeredAt = m.heardAt;
             m.answeredRuns = Set.of();
             return nothing;
         }
         doubt(m, r);
         boolean fresh = take(m, r, true);
-        m.answeredAt = outside.now();
+        m.answeredAt = environment.now();
         List<Signal> signals = fresh ? commands.signals(m, true) : List.of();
         m.answeredRuns = keys(signals);
-        return signals.isEmpty() ? nothing : Wire.encode(Messages.signals(term, signals));
+        return signals.isEmpty() ? nothing : MessageCodec.encode(Messages.signals(term, signals));
     }
 
     /**
@@ -143,15 +148,17 @@
         if (!m.accepted(term) || m.unreachedSince != 0) {
             return;
         }
-        boolean lapsedUnderAnswers =
-                r.session() > m.session && m.session > 0 && m.answeredAt != 0 && outside.now() - m.answeredAt < leaseMs;
+        boolean lapsedUnderAnswers = r.session() > m.session
+                && m.session > 0
+                && m.answeredAt != 0
+                && environment.now() - m.answeredAt < leaseMs;
         boolean unheeded = r.session() == m.session && r.seq() > m.seq && !m.answeredRuns.isEmpty() && unheeded(m, r);
         if (lapsedUnderAnswers || unheeded) {
             LOG.info(
                     "machine {} reports but seems not to hear: {}",
                     m.name,
                     lapsedUnderAnswers ? "its lease lapsed while it was answered" : "it left starts alone");
-            m.unreachedSince = outside.now();
+            m.unreachedSince = environment.now();
         }
     }
 
@@ -179,11 +186,11 @@
 
     /** Answers a report before the claims have been read: the lease is renewed, and cancelled jobs are stopped. */
     byte[] hold(Report r) {
-        Machine m = board.machine(r.machine());
+        Machine m = cluster.machine(r.machine());
         m.addr = r.addr();
-        m.answeredAt = outside.now();
+        m.answeredAt = environment.now();
         List<Signal> stops = leadership.cancellations().stops(r);
-        return stops.isEmpty() ? nothing : Wire.encode(Messages.signals(term, stops));
+        return stops.isEmpty() ? nothing : MessageCodec.encode(Messages.signals(term, stops));
     }
 
     /** Takes in what a worker says. False when something newer was heard before. */
@@ -191,7 +198,7 @@
         if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq || r.session() <= m.lapsedSession) {
             return false;
         }
-        long now = outside.now();
+        long now = environment.now();
         takeSession(m, r, now);
         takeTerm(m, r, now);
         takeProperties(m, r, now);
@@ -224,7 +231,7 @@
         if (!m.heard && r.token() < term) {
             // until it shows our term: this may be a late copy of what a dead machine said
             m.unreachedSince = now;
-            if (!lateness.behind()) {
+            if (!eventLoopLag.behind()) {
                 commands.ask(m); // its next report will show it too, but work may be waiting
             }
         } else if (m.token < term && r.token() >= term) {
@@ -242,10 +249,10 @@
         m.token = r.token();
         m.addr = r.addr();
         m.typeName = r.type();
-        m.type = board.type(r.type());
+        m.type = cluster.type(r.type());
         m.spot = r.spot();
-        board.setZone(m, r.zone());
-        board.rooms.update(m);
+        cluster.setZone(m, r.zone());
+        cluster.rooms.update(m);
     }
 
     private void takeTasks(Machine m, Report r, boolean inOrder, long now) {
@@ -331,11 +338,11 @@
                     events.stopWhole(c, c.job.spec.saveS() <= m.noticeS ? c.job.spec.saveS() : 0);
                 }
             } else if (c.job.spec.service()) {
-                board.stop(c, 0, now);
+                cluster.stop(c, 0, now);
             } else if (c.job.spec.checkpointS() > 0) {
-                board.stop(c, c.job.spec.saveS(), now);
+                cluster.stop(c, c.job.spec.saveS(), now);
             } else if (c.job.spec.estimateS() - c.ranMs(now) / 1000.0 > m.noticeS) {
-                board.stop(c, 0, now); // it would be lost all the same, only later
+                cluster.stop(c, 0, now); // it would be lost all the same, only later
             }
         }
         commands.sendSoon(m);
@@ -347,7 +354,7 @@
         for (Claim c : List.copyOf(m.claims.values())) {
             events.gone(c, "machine deleted");
         }
-        board.forget(m);
+        cluster.forget(m);
         events.changed();
     }
 }
--- a/src/main/java/stileferry/coordination/Rooms.java
+++ b/src/main/java/stileferry/coordination/FreeCapacityIndex.java
@@ -10,7 +10,7 @@
  * Machines by the CPUs that are free on them, so that a search looks only at machines with room. It holds every
  * machine that was heard and whose type is known; whoever searches checks everything else.
  */
-final class Rooms {
+final class FreeCapacityIndex {
     private static final double EPSILON = 1e-6;
 
     /** Machines with at least so many whole CPUs free, and less than one more. */
--- a/src/main/java/stileferry/coordination/GangCounters.java
+++ b/src/main/java/stileferry/coordination/GangCounters.java
@@ -1,8 +1,8 @@
 package stileferry.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Report;
-import stileferry.protocol.Wire;
 
 /** Counts what became of the attempts of gangs in one term, each attempt once, by the first task that ended. */
 final class GangCounters {
@@ -48,7 +48,7 @@
     }
 
     ObjectNode describe() {
-        return Wire.map()
+        return MessageCodec.map()
                 .put("attempts", attempts)
                 .put("started", started)
                 .put("stopped_and_saved", saved)
--- a/src/main/java/stileferry/coordination/Job.java
+++ b/src/main/java/stileferry/coordination/Job.java
@@ -11,8 +11,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
-import stileferry.protocol.Wire;
 import stileferry.storage.Ledger;
 
 /** An accepted job that is not over, and what is known of its tasks. */
@@ -107,7 +107,8 @@
     }
 
     private ObjectNode write() {
-        ObjectNode v = Wire.map().put("order", order).put("at", acceptedAt).put("cancelled", cancelled);
+        ObjectNode v =
+                MessageCodec.map().put("order", order).put("at", acceptedAt).put("cancelled", cancelled);
         if (chunkTasks > 1) {
             v.put("chunk", chunkTasks);
         }
--- a/src/main/java/stileferry/coordination/JobEnds.java
+++ b/src/main/java/stileferry/coordination/JobEnds.java
@@ -6,16 +6,22 @@
 
 /** Ends of jobs, done or cancelled. Users hear of them when they are durable, of cancellations when enough know. */
 final class JobEnds {
-    private final Board board;
+    private final ClusterState cluster;
     private final Ledger ledger;
-    private final EndedJobs ended;
+    private final EndedJobCache ended;
     private final Leadership leadership;
     private final Users users;
     private final Consumer<Claim> stop;
 
     /** The consumer stops a claimed task at once. */
-    JobEnds(Board board, Ledger ledger, EndedJobs ended, Leadership leadership, Users users, Consumer<Claim> stop) {
-        this.board = board;
+    JobEnds(
+            ClusterState cluster,
+            Ledger ledger,
+            EndedJobCache ended,
+            Leadership leadership,
+            Users users,
+            Consumer<Claim> stop) {
+        this.cluster = cluster;
         this.ledger = ledger;
         this.ended = ended;
         this.leadership = leadership;
@@ -25,7 +31,7 @@
 
     /** Ends the jobs that were over when a term began, and goes on with what was cancelled. */
     void endWhatIsOver() {
-        for (Job job : List.copyOf(board.jobs.values())) {
+        for (Job job : List.copyOf(cluster.jobs.values())) {
             if (job.cancelled) {
                 cancelDurable(job);
             } else if (job.unfinished() == 0) {
@@ -50,12 +56,12 @@
             return;
         }
         job.ending = true;
-        EndedJobs.Ended record = new EndedJobs.Ended(how, job.doneCount());
+        EndedJobCache.Ended record = new EndedJobCache.Ended(how, job.doneCount());
         Ledger.Entry entry = new Ledger.Entry(Job.endedKey(job.spec.id()), 0, record::write);
         ledger.move(entry, job.record, () -> {
             job.over = true;
             leadership.cancellations().over(job.spec.id());
-            board.jobs.remove(job.spec.id());
+            cluster.jobs.remove(job.spec.id());
             ended.put(job.spec.id(), record);
             users.answer(job, Users.ok(200, record.answer(job.spec.id())));
             if (onDurable != null) {
@@ -68,7 +74,7 @@
         job.cancelled = true;
         for (Claim claim : List.copyOf(job.claims.values())) {
             if (claim.runsSent == 0) {
-                board.remove(claim, false); // no machine has heard of it
+                cluster.remove(claim, false); // no machine has heard of it
                 ledger.log(TaskEvents.freed(claim), null);
             }
         }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -5,13 +5,13 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.MachineType;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Options;
-import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 import stileferry.storage.Ledger;
 import stileferry.storage.StateClient;
 
@@ -28,15 +28,15 @@
     private static final int BACKLOG_TRANSACTIONS = 4;
 
     private final Settings settings;
-    private final Outside outside;
+    private final Environment environment;
     private final Leadership leadership;
     private final long term;
     private final Ledger ledger;
-    private final Board board;
+    private final ClusterState cluster;
     private final StateLoader loader;
     private final TaskLifecycle tasks;
     private final Fleet fleet;
-    private final Silences silences;
+    private final SilenceRecords silences;
     private final Placement placement;
     private final Preemption preemption;
     private final Provisioning provisioning;
@@ -58,39 +58,39 @@
 
     Leader(
             Settings settings,
-            Outside outside,
+            Environment environment,
             StateClient state,
             Leadership leadership,
-            EndedJobs ended,
+            EndedJobCache ended,
             List<MachineType> types,
             long term,
             long leaderRevision,
-            Lateness lateness) {
+            EventLoopLag eventLoopLag) {
         this.settings = settings;
-        this.outside = outside;
+        this.environment = environment;
         this.leadership = leadership;
         this.term = term;
-        this.ledger = new Ledger(outside, state, Leadership.LEADER_KEY, leaderRevision, term, leadership::resign);
-        this.board = new Board(settings);
-        this.board.types = types;
-        this.silences = new Silences(board, outside, ledger, leadership, term);
+        this.ledger = new Ledger(environment, state, Leadership.LEADER_KEY, leaderRevision, term, leadership::resign);
+        this.cluster = new ClusterState(settings);
+        this.cluster.types = types;
+        this.silences = new SilenceRecords(cluster, environment, ledger, leadership, term);
         TermNumbers numbers = new TermNumbers(term);
-        this.users = new Users(board, outside, state, ledger, ended, forUsers(numbers));
+        this.users = new Users(cluster, environment, state, ledger, ended, forUsers(numbers));
         this.tasks = new TaskLifecycle(
-                board,
-                outside,
+                cluster,
+                environment,
                 ledger,
                 numbers,
-                events -> new Fleet(board, outside, leadership, term, events, silences, lateness),
-                t -> new JobEnds(board, ledger, ended, leadership, users, t::stopCancelled),
+                events -> new Fleet(cluster, environment, leadership, term, events, silences, eventLoopLag),
+                t -> new JobEnds(cluster, ledger, ended, leadership, users, t::stopCancelled),
                 this::changed);
         this.fleet = tasks.fleet();
-        this.placement = new Placement(board);
-        this.preemption = new Preemption(board, placement);
-        this.provisioning = new Provisioning(board, outside, fleet, term);
-        this.consolidation = new Consolidation(board, placement, outside.now(), claim -> tasks.stop(claim, 0));
+        this.placement = new Placement(cluster);
+        this.preemption = new Preemption(cluster, placement);
+        this.provisioning = new Provisioning(cluster, environment, fleet, term);
+        this.consolidation = new Consolidation(cluster, placement, environment.now(), claim -> tasks.stop(claim, 0));
         this.roundMs = settings.workers().reportRoundMs();
-        this.loader = new StateLoader(outside, state, board, ledger, forLoader());
+        this.loader = new StateLoader(environment, state, cluster, ledger, forLoader());
         loader.load();
     }
 
@@ -153,10 +153,10 @@
 
     /** The machine types are known from now on, or have changed. */
     void types(List<MachineType> types) {
-        board.types = types;
-        for (Machine m : board.machines.values()) {
-            m.type = board.type(m.typeName);
-            board.rooms.update(m);
+        cluster.types = types;
+        for (Machine m : cluster.machines.values()) {
+            m.type = cluster.type(m.typeName);
+            cluster.rooms.update(m);
         }
         changed();
     }
@@ -171,16 +171,16 @@
 
     /** Everything that is durable has been read. */
     private void begin(StateLoader.Loaded loaded) {
-        admin = new Admin(board, placement, ledger, loaded.optionsRevision(), this::describe, this::takeOptions);
+        admin = new Admin(cluster, placement, ledger, loaded.optionsRevision(), this::describe, this::takeOptions);
         // an older version stored that one task of a gang was done, and might have started the others again
-        board.jobs.values().stream()
+        cluster.jobs.values().stream()
                 .filter(job -> job.spec.gang() && job.doneCount() > 0)
                 .forEach(job -> tasks.finishGang(job, null));
-        board.jobs.values().forEach(tasks::stopBrokenAttempt);
+        cluster.jobs.values().forEach(tasks::stopBrokenAttempt);
         silences.takeOver(loaded.silences());
         active = true;
-        activeAt = outside.now();
-        LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, board.jobs.size(), loaded.claims());
+        activeAt = environment.now();
+        LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, cluster.jobs.size(), loaded.claims());
         tasks.jobEnds().endWhatIsOver();
         leadership.cancellations().allRead();
         provisioning.list();
@@ -188,15 +188,15 @@
     }
 
     private void takeOptions(Options options) {
-        board.options = options;
-        outside.logLevel(options.text(Options.LOG_LEVEL));
+        cluster.options = options;
+        environment.logLevel(options.text(Options.LOG_LEVEL));
     }
 
     private void tick() {
         if (closed) {
             return;
         }
-        outside.after(Math.round(1000 * board.options.number(Options.PASS_INTERVAL_S)), this::tick);
+        environment.after(Math.round(1000 * cluster.options.number(Options.PASS_INTERVAL_S)), this::tick);
         fleet.failures().checkLeases();
         fleet.commands().probe();
         users.giveUpWaiting();
@@ -211,11 +211,11 @@
     }
 
     private void checkSockets() {
-        if (!socketsAreFew && settings.sockets().full(board.machines.size())) {
+        if (!socketsAreFew && settings.sockets().full(cluster.machines.size())) {
             socketsAreFew = true;
             LOG.warn(
                     "{} machines: max_sockets ({}) leaves {} connections for them and all users, so they are not kept",
-                    board.machines.size(),
+                    cluster.machines.size(),
                     settings.maxSockets(),
                     settings.sockets().incoming());
         }
@@ -223,7 +223,7 @@
 
     /** After one report round, what has not reported is taken for absent where that only costs a chance. */
     private boolean settled() {
-        return outside.now() - activeAt > roundMs;
+        return environment.now() - activeAt > roundMs;
     }
 
     // ---- passes
@@ -231,7 +231,7 @@
     private void changed() {
         if (!passAsked && active) {
             passAsked = true;
-            outside.after(Math.max(COALESCE_MS, PASS_REST * passTookMs), () -> {
+            environment.after(Math.max(COALESCE_MS, PASS_REST * passTookMs), () -> {
                 passAsked = false;
                 if (!closed && leadership.sure()) {
                     pass(false);
@@ -242,23 +242,23 @@
     }
 
     private void pass(boolean regular) {
-        long from = outside.now();
+        long from = environment.now();
         passOnce(regular);
-        passTookMs = outside.now() - from;
+        passTookMs = environment.now() - from;
         if (placement.cutShort()) {
             changed();
         }
     }
 
     private void passOnce(boolean regular) {
-        if (board.types.isEmpty()
+        if (cluster.types.isEmpty()
                 || ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
             return;
         }
-        long now = outside.now();
-        boolean preempts = settled() && board.options.flag(Options.PREEMPTION);
-        List<Job> waiting = placement.pass(now, outside.timeOfDay(), preempts, this::start);
-        board.reservations.clear();
+        long now = environment.now();
+        boolean preempts = settled() && cluster.options.flag(Options.PREEMPTION);
+        List<Job> waiting = placement.pass(now, environment.timeOfDay(), preempts, this::start);
+        cluster.reservations.clear();
         if (preempts) {
             makeRoom(waiting, now);
         }
@@ -274,14 +274,14 @@
     }
 
     private void start(Job job, List<Machine> machines) {
-        boolean overdue = placement.overdue(job, outside.timeOfDay());
-        board.reservations.remove(job);
+        boolean overdue = placement.overdue(job, environment.timeOfDay());
+        cluster.reservations.remove(job);
         tasks.start(job, machines, overdue);
     }
 
     private void makeRoom(List<Job> waiting, long now) {
-        long urgentAfter = Math.round(1000 * board.types.get(0).bootS());
-        for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, outside.timeOfDay())) {
+        long urgentAfter = Math.round(1000 * cluster.types.get(0).bootS());
+        for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, environment.timeOfDay())) {
             LOG.debug(
                     "stopping {} to make room for {}",
                     stop.victim().name,
@@ -304,7 +304,7 @@
 
     /** The last that was heard from a machine; null: nothing. */
     Report lastReport(String name) {
-        Machine m = board.machines.get(name);
+        Machine m = cluster.machines.get(name);
         return m == null ? null : m.last;
     }
 
@@ -334,17 +334,17 @@
         if (!serving()) {
             reply.accept(Admin.unavailable());
         } else {
-            admin.request(method, path, from, body, outside.now(), outside.timeOfDay(), reply);
+            admin.request(method, path, from, body, environment.now(), environment.timeOfDay(), reply);
         }
     }
 
     private ObjectNode describe() {
-        return Wire.map()
+        return MessageCodec.map()
                 .put("leader", settings.node())
                 .put("term", term)
-                .put("active_s", (outside.now() - activeAt) / 1000.0)
-                .put("live_jobs", board.jobs.size())
-                .put("machines", board.machines.size())
+                .put("active_s", (environment.now() - activeAt) / 1000.0)
+                .put("live_jobs", cluster.jobs.size())
+                .put("machines", cluster.machines.size())
                 .put("changes_waiting", ledger.backlog())
                 .set("gangs", tasks.gangCounters().describe());
     }
--- a/src/main/java/stileferry/coordination/Caretaker.java
+++ b/src/main/java/stileferry/coordination/LeaderlessRenewal.java
@@ -5,12 +5,12 @@
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
-import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Report;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 
 /**
  * Keeps workers' leases alive while nobody can lead, as when the state service is down and the leader has crashed.
@@ -21,11 +21,11 @@
  * since nobody resumes a term and later terms are higher; so nobody counts on that lease lapsing. A later leader
  * counts a lapse only from when the worker accepted its term, or every controller acknowledged it.
  */
-final class Caretaker {
-    private static final Logger LOG = LoggerFactory.getLogger("caretaker");
+final class LeaderlessRenewal {
+    private static final Logger LOG = LoggerFactory.getLogger("renewal");
     private static final long ANSWER_MS = 800;
 
-    private final Outside outside;
+    private final Environment environment;
     private final Leadership leadership;
     private final List<Settings.Peer> peers;
     private List<Waiting> waiting = new ArrayList<>();
@@ -34,8 +34,8 @@
 
     private record Waiting(Report report, BiConsumer<Integer, byte[]> reply) {}
 
-    Caretaker(Outside outside, Leadership leadership, List<Settings.Peer> peers) {
-        this.outside = outside;
+    LeaderlessRenewal(Environment environment, Leadership leadership, List<Settings.Peer> peers) {
+        this.environment = environment;
         this.leadership = leadership;
         this.peers = peers;
     }
@@ -58,7 +58,7 @@
         int[] informed = {0};
         leadership.consent();
         for (int i = 0; i < peers.size(); i++) {
-            outside.peer(peers.get(i), leadership.words(i), ANSWER_MS, record -> {
+            environment.peer(peers.get(i), leadership.words(i), ANSWER_MS, record -> {
                 if (record instanceof PeerRecord.Term t) {
                     leadership.learn(t);
                     leadership.cancellations().heard(t, false);
@@ -96,10 +96,10 @@
             if (entitled) {
                 w.reply.accept(
                         200,
-                        Wire.encode(Messages.signals(
+                        MessageCodec.encode(Messages.signals(
                                 w.report.token(), leadership.cancellations().stops(w.report))));
             } else {
-                w.reply.accept(503, Wire.encode(Messages.error("no leader known")));
+                w.reply.accept(503, MessageCodec.encode(Messages.error("no leader known")));
             }
         }
         ask();
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -5,10 +5,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 import stileferry.storage.StateClient;
 
 /**
@@ -40,7 +40,7 @@
     private static final long WATCH_MS = 10_000;
     private static final long ANNOUNCE_MS = 1000;
 
-    private final Outside outside;
+    private final Environment environment;
     private final StateClient state;
     private final Settings settings;
     private final Listener listener;
@@ -73,8 +73,8 @@
         void options(JsonNode stored);
     }
 
-    Leadership(Outside outside, StateClient state, Settings settings, Listener listener) {
-        this.outside = outside;
+    Leadership(Environment environment, StateClient state, Settings settings, Listener listener) {
+        this.environment = environment;
         this.state = state;
         this.settings = settings;
         this.listener = listener;
@@ -82,8 +82,8 @@
         this.renewMs = renewMs(settings);
         this.ackedAt = new long[settings.peers().size()];
         this.telling = new boolean[settings.peers().size()];
-        this.cancellations = new Cancellations(outside, settings);
-        this.consentedAt = outside.now(); // what a former life of this process consented to is not known
+        this.cancellations = new Cancellations(environment, settings);
+        this.consentedAt = environment.now(); // what a former life of this process consented to is not known
     }
 
     /**
@@ -122,7 +122,7 @@
 
     /** True while this node's lease cannot have ended, counted from when its renewal was sent. */
     boolean sure() {
-        return leading && outside.now() < sureUntil;
+        return leading && environment.now() < sureUntil;
     }
 
     /**
@@ -132,7 +132,8 @@
      * lapse in time.
      */
     boolean mayRenew() {
-        return sure() || leading && outside.now() < Math.max(sureUntil, cancellations.nothingMissedUntil()) + renewMs;
+        return sure()
+                || leading && environment.now() < Math.max(sureUntil, cancellations.nothingMissedUntil()) + renewMs;
     }
 
     /** What this process knows of cancelled jobs. */
@@ -189,12 +190,12 @@
         return new PeerRecord.Term(term, leader(), leading, cancellations.answer(heard));
     }
 
-    /** Takes in that a caretaker may answer reports that were sent until now. */
+    /** Takes in that another controller may answer reports without a leader that were sent until now. */
     void consent() {
-        consentedAt = outside.now();
+        consentedAt = environment.now();
     }
 
-    /** When this process last let a caretaker answer reports; since its start it has not done so after that. */
+    /** When this process last let another one answer reports without a leader; since its start it has not done so after that. */
     long consentedAt() {
         return consentedAt;
     }
@@ -224,7 +225,7 @@
         }
         if (!heardLeader.isEmpty() && !heardLeader.equals(settings.node()) && !leading) {
             leader = heardLeader;
-            leaderHeardAt = outside.now();
+            leaderHeardAt = environment.now();
         }
     }
 
@@ -248,7 +249,7 @@
     }
 
     private void later(long ms, int forRound, Runnable task) {
-        outside.after(ms / 2 + outside.random().nextLong(ms), () -> {
+        environment.after(ms / 2 + environment.random().nextLong(ms), () -> {
             if (round == forRound) {
                 task.run();
             }
@@ -307,7 +308,7 @@
     }
 
     private void run(int forRound, long storedTerm, long termRevision) {
-        long sentAt = outside.now();
+        long sentAt = environment.now();
         state.lease(lifeMs, (status, body) -> {
             if (round != forRound || leading) {
                 return;
@@ -318,7 +319,7 @@
             }
             String mine = body.path("mooring").asText();
             long next = Math.max(term, storedTerm) + 1;
-            ObjectNode t = Wire.map();
+            ObjectNode t = MessageCodec.map();
             ArrayNode conditions = t.putArray("if");
             conditions.addObject().put("path", LEADER_KEY).put("entry_rev", 0);
             conditions.addObject().put("path", TERM_KEY).put("entry_rev", termRevision);
@@ -326,9 +327,12 @@
             ObjectNode put = apply.addObject().put("put", LEADER_KEY);
             put.set(
                     "v",
-                    Wire.map().put("node", settings.node()).put("term", next).put("lease", mine));
+                    MessageCodec.map()
+                            .put("node", settings.node())
+                            .put("term", next)
+                            .put("lease", mine));
             put.set("mooring", body.path("mooring"));
-            apply.addObject().put("put", TERM_KEY).set("v", Wire.map().put("term", next));
+            apply.addObject().put("put", TERM_KEY).set("v", MessageCodec.map().put("term", next));
             state.commit(t, 2, true, (s, b) -> {
                 if (round != forRound || leading) {
                     return;
@@ -356,14 +360,14 @@
         leader = settings.node();
         leaderRevision = revision;
         lease = wonLease;
-        ledSince = outside.now();
+        ledSince = environment.now();
         java.util.Arrays.fill(ackedAt, -1);
         cancellations.begin();
         sureUntil = 0;
         trust(sentAt);
         LOG.info("leading in term {}", term);
         int now = ++round;
-        outside.after(lifeMs / 5, () -> renew(now));
+        environment.after(lifeMs / 5, () -> renew(now));
         announce();
         listener.elected(term, leaderRevision);
     }
@@ -377,7 +381,7 @@
         if (round != forRound || !leading) {
             return;
         }
-        long sentAt = outside.now();
+        long sentAt = environment.now();
         boolean wasSure = sure();
         state.touch(lease, lifeMs, (status, body) -> {
             if (round != forRound || !leading) {
@@ -395,7 +399,7 @@
                 LOG.info("not sure to lead any more: the lease of term {} could not be renewed ({})", term, status);
             }
         });
-        outside.after(lifeMs / 5, () -> renew(forRound));
+        environment.after(lifeMs / 5, () -> renew(forRound));
     }
 
     /** The leader tells everybody its term once a second; that also tells them that it is there. */
@@ -403,7 +407,7 @@
         if (leading) {
             announce();
         }
-        outside.after(1000, this::ping);
+        environment.after(1000, this::ping);
     }
 
     private void announce() {
@@ -423,15 +427,15 @@
 
     private void announce(int peer) {
         long told = term;
-        long sentAt = outside.now();
+        long sentAt = environment.now();
         PeerRecord.Term words = words(peer);
         telling[peer] = true;
-        outside.peer(settings.peers().get(peer), words, ANNOUNCE_MS, record -> {
+        environment.peer(settings.peers().get(peer), words, ANNOUNCE_MS, record -> {
             telling[peer] = false;
             if (record instanceof PeerRecord.Term answer) {
                 if (leading && term == told) {
                     if (answer.term() == told && ackedAt[peer] < 0) {
-                        ackedAt[peer] = outside.now();
+                        ackedAt[peer] = environment.now();
                     }
                     cancellations.answered(peer, answer, sentAt, told, words.knowledge());
                 }
--- a/src/main/java/stileferry/coordination/MachineList.java
+++ b/src/main/java/stileferry/coordination/MachineList.java
@@ -6,15 +6,15 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.Messages;
-import stileferry.protocol.Outside;
 
 /** Reads the cloud's list of machines again and again. It lags, so what it lacks proves nothing. */
 final class MachineList {
     private static final Logger LOG = LoggerFactory.getLogger("cloud");
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final CloudClient cloud;
     private final Runnable firstRead;
     private boolean listing;
@@ -22,9 +22,9 @@
     private boolean listedOnce;
 
     /** The action runs when the list has been read for the first time. */
-    MachineList(Board board, Outside outside, CloudClient cloud, Runnable firstRead) {
-        this.board = board;
-        this.outside = outside;
+    MachineList(ClusterState cluster, Environment environment, CloudClient cloud, Runnable firstRead) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.cloud = cloud;
         this.firstRead = firstRead;
     }
@@ -36,8 +36,8 @@
 
     /** Reads the list again when it is time. */
     void list() {
-        long now = outside.now();
-        long every = Math.max(2000, Math.round(board.settings.cloud().listLagS() * 500));
+        long now = environment.now();
+        long every = Math.max(2000, Math.round(cluster.settings.cloud().listLagS() * 500));
         if (!listing && (listedAt < 0 || now - listedAt > every) && cloud.mayCall()) {
             listing = true;
             page("", new ArrayList<>());
@@ -48,7 +48,7 @@
         cloud.call("GET", "/hosts?most=500" + (from.isEmpty() ? "" : "&from=" + from), null, (status, body) -> {
             if (status != 200 || body == null) {
                 listing = false;
-                listedAt = outside.now();
+                listedAt = environment.now();
                 return;
             }
             seen.addAll(Messages.listed(body));
@@ -57,28 +57,28 @@
                 return;
             }
             listing = false;
-            listedAt = outside.now();
+            listedAt = environment.now();
             compare(seen);
         });
     }
 
     private void compare(List<Messages.Listed> list) {
-        long now = outside.now();
+        long now = environment.now();
         Set<String> names = new HashSet<>();
         for (Messages.Listed l : list) {
-            if (board.deleted.contains(l.name())) {
+            if (cluster.deleted.contains(l.name())) {
                 continue; // the list lags behind the deletion
             }
             names.add(l.name());
-            Machine m = board.machine(l.name());
+            Machine m = cluster.machine(l.name());
             m.listed = true;
             m.missingSince = 0;
             if (m.type == null || m.addr.isEmpty()) {
                 m.addr = m.addr.isEmpty() ? l.addr() : m.addr;
                 m.typeName = l.type();
-                m.type = board.type(l.type());
+                m.type = cluster.type(l.type());
                 m.spot = l.spot();
-                board.setZone(m, l.zone());
+                cluster.setZone(m, l.zone());
             }
             if (m.rentedAt == 0) {
                 m.rentedAt = now - Math.round(l.ageS() * 1000);
@@ -89,10 +89,10 @@
             if (l.state().equals("failed") && !m.deleting) {
                 LOG.info("machine {} has failed", m.name);
                 m.deleting = true;
-                board.rooms.update(m);
+                cluster.rooms.update(m);
             }
         }
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.listed && !names.contains(m.name) && m.missingSince == 0) {
                 m.missingSince = now;
             }
--- a/src/main/java/stileferry/coordination/MachineReturns.java
+++ b/src/main/java/stileferry/coordination/MachineReturns.java
@@ -6,10 +6,10 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Options;
-import stileferry.protocol.Outside;
 
 /** Returns machines to the cloud: lost ones, whose deletion proves that their tasks are gone, and idle ones. */
 final class MachineReturns {
@@ -29,8 +29,8 @@
 
     private static final int MAX_DELETE = 100;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Fleet fleet;
     private final CloudClient cloud;
     private final MachineList list;
@@ -40,24 +40,24 @@
     private final long cancelPatienceMs;
     private boolean deleting;
 
-    MachineReturns(Board board, Outside outside, Fleet fleet, CloudClient cloud, MachineList list) {
-        this.board = board;
-        this.outside = outside;
+    MachineReturns(ClusterState cluster, Environment environment, Fleet fleet, CloudClient cloud, MachineList list) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.fleet = fleet;
         this.cloud = cloud;
         this.list = list;
-        this.since = outside.now();
-        this.listLagMs = Math.round(board.settings.cloud().listLagS() * 1000);
-        this.leaseMs = Math.round(board.settings.workers().leaseS() * 1000);
+        this.since = environment.now();
+        this.listLagMs = Math.round(cluster.settings.cloud().listLagS() * 1000);
+        this.leaseMs = Math.round(cluster.settings.workers().leaseS() * 1000);
         this.cancelPatienceMs =
-                Math.round(1000 * CANCEL_PATIENCE * board.settings.workers().cancelS());
+                Math.round(1000 * CANCEL_PATIENCE * cluster.settings.workers().cancelS());
     }
 
     /** Marks what shall be deleted, and deletes it. */
     void returnMachines(boolean settled) {
         double spare = settled ? spareCpus() : 0;
         Set<Machine> lost = settled ? new HashSet<>(fleet.failures().lost(since)) : Set.of();
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.deleting) {
                 continue;
             }
@@ -74,7 +74,7 @@
             if (why != null) {
                 LOG.info("returning machine {} with {} tasks: {}", m.name, m.claims.size(), why);
                 m.deleting = true;
-                board.rooms.update(m);
+                cluster.rooms.update(m);
             }
         }
         delete();
@@ -82,7 +82,7 @@
 
     /** Why a machine is taken for lost; null: it is not. */
     private String whyLost(Machine m, boolean settled, Set<Machine> lost) {
-        long now = outside.now();
+        long now = environment.now();
         long quiet = now - Math.max(since, m.rentedAt); // a new leader has not been there to hear it before
         boolean missing = m.missingSince != 0 && now - m.missingSince > listLagMs / 2;
         if (missing && (fleet.failures().silent(m) || !m.heard)) {
@@ -128,13 +128,13 @@
     }
 
     private boolean idle(Machine m) {
-        long now = outside.now();
+        long now = environment.now();
         return empty(m) && m.type != null && !m.strays && now - m.idleSince > idleMs(m) && now - m.rentedAt > PAID_MS;
     }
 
     private boolean keepsCancelledTask(Machine m) {
         for (Claim c : m.claims.values()) {
-            if (c.job.cancelled && c.stopAskedAt > 0 && outside.now() - c.stopAskedAt > cancelPatienceMs) {
+            if (c.job.cancelled && c.stopAskedAt > 0 && environment.now() - c.stopAskedAt > cancelPatienceMs) {
                 return true;
             }
         }
@@ -143,12 +143,12 @@
 
     /** A machine is kept for a while: renting another takes its boot time. */
     private long idleMs(Machine m) {
-        return Math.round(1000 * board.options.number(Options.IDLE_BOOTS) * m.type.bootS());
+        return Math.round(1000 * cluster.options.number(Options.IDLE_BOOTS) * m.type.bootS());
     }
 
     private void delete() {
         List<String> names = new ArrayList<>();
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.deleting && names.size() < MAX_DELETE) {
                 names.add(m.name);
             }
@@ -161,7 +161,7 @@
             deleting = false;
             if (status == 200) {
                 for (String name : names) {
-                    Machine m = board.machines.get(name);
+                    Machine m = cluster.machines.get(name);
                     if (m != null) {
                         fleet.deleted(m);
                     }
@@ -175,7 +175,7 @@
         double free = 0;
         double critical = 0;
         double largest = 0;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.usable() && !m.spot) {
                 free += m.type.cpus() - m.usedCpus();
             }
@@ -186,6 +186,6 @@
                 }
             }
         }
-        return free - Math.max(largest, critical * board.options.number(Options.SPARE_SHARE));
+        return free - Math.max(largest, critical * cluster.options.number(Options.SPARE_SHARE));
     }
 }
--- a/src/main/java/stileferry/coordination/Placement.java
+++ b/src/main/java/stileferry/coordination/Placement.java
@@ -35,12 +35,12 @@
     /** Starts of one turn; more go on in the next, so that reports and renewals are not late. */
     private static final int STARTS_A_TURN = 400;
 
-    private final Board board;
+    private final ClusterState cluster;
     private boolean cutShort;
     private boolean keptBack;
 
     /** What found no room in a pass. Room only gets less in a pass, so whoever asks for as much finds none either. */
-    static final class Misfits {
+    static final class UnplaceableRequests {
         private final List<JobSpec> specs = new ArrayList<>();
 
         /** Takes in a job without room; false when that says nothing about others. */
@@ -69,15 +69,15 @@
         }
     }
 
-    Placement(Board board) {
-        this.board = board;
+    Placement(ClusterState cluster) {
+        this.cluster = cluster;
     }
 
     /** Marks the jobs that fit into their team's guarantee together with the team's earlier jobs. */
     void markGuaranteed() {
         Map<String, double[]> sums = new HashMap<>();
-        for (Job job : board.jobs.values()) { // kept in order of submission
-            Settings.Team team = board.settings.team(job.spec.team());
+        for (Job job : cluster.jobs.values()) { // kept in order of submission
+            Settings.Team team = cluster.settings.team(job.spec.team());
             if (team == null || job.cancelled || !job.accepted) {
                 job.withinGuarantee = false;
                 continue;
@@ -93,13 +93,13 @@
     boolean overdue(Job job, long timeOfDay) {
         return !job.begun
                 && job.claims.isEmpty()
-                && timeOfDay - job.acceptedAt > 1000 * board.options.number(Options.BEGIN_WITHIN_S);
+                && timeOfDay - job.acceptedAt > 1000 * cluster.options.number(Options.BEGIN_WITHIN_S);
     }
 
     /** Jobs with a task that waits, in queue order. */
     List<Job> queue(long now, long timeOfDay) {
         List<Job> queue = new ArrayList<>();
-        for (Job job : board.jobs.values()) {
+        for (Job job : cluster.jobs.values()) {
             if (job.nextWaiting(now) >= 0) {
                 queue.add(job);
             }
@@ -118,14 +118,14 @@
      */
     List<Job> pass(long now, long timeOfDay, boolean preempts, BiConsumer<Job, List<Machine>> start) {
         markGuaranteed();
-        double protectAfterMs = 1000 * board.options.number(Options.HEAD_PROTECTION_S);
+        double protectAfterMs = 1000 * cluster.options.number(Options.HEAD_PROTECTION_S);
         List<Job> queue = queue(now, timeOfDay);
         List<Job> open = new ArrayList<>(queue); // the same, with null for jobs that are stuck
         double[] ranks = new double[queue.size()];
         for (int i = 0; i < ranks.length; i++) {
             ranks[i] = rank(queue.get(i));
         }
-        Misfits misfits = new Misfits();
+        UnplaceableRequests unplaceable = new UnplaceableRequests();
         int left = queue.size();
         int starts = 0;
         boolean again = false;
@@ -177,10 +177,10 @@
             }
             open.set(at, null);
             left--;
-            if (!keptBack && misfits.add(pick) && board.withinLimit(pick)) {
+            if (!keptBack && unplaceable.add(pick) && cluster.withinLimit(pick)) {
                 // nobody who asks for as much or more finds room before something ends
                 for (int i = 0; i < open.size(); i++) {
-                    if (open.get(i) != null && misfits.cover(open.get(i))) {
+                    if (open.get(i) != null && unplaceable.cover(open.get(i))) {
                         open.set(i, null);
                         left--;
                     }
@@ -201,7 +201,7 @@
         double cpus = 1;
         double gpus = 1;
         double memory = 1;
-        for (MachineType type : board.types) {
+        for (MachineType type : cluster.types) {
             cpus = Math.max(cpus, type.cpus());
             gpus = Math.max(gpus, type.gpus());
             memory = Math.max(memory, type.memoryGb());
@@ -212,7 +212,7 @@
     /** The machine that is nearest to having room for a task of this job. */
     private Machine roomiest(Job job, long now) {
         Machine best = null;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.heard
                     && allowed(job, m, now)
                     && (best == null || m.type.cpus() - m.usedCpus() > best.type.cpus() - best.usedCpus())) {
@@ -253,7 +253,7 @@
     private boolean roomCanBeMadeAtImage(Job job, long now) {
         int wanted = job.spec.gang() ? job.spec.tasks() : 1;
         Map<String, Integer> fitting = new HashMap<>();
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.heard && m.hasImage(job.spec.image()) && allowed(job, m, now)) {
                 String together = job.spec.oneZone() ? m.zone : "";
                 if (fitting.merge(together, m.tasksFittingWithoutLess(job), Integer::sum) >= wanted) {
@@ -279,7 +279,7 @@
         if (!job.spec.oneZone()) {
             return best;
         }
-        for (String zone : board.settings.zones()) {
+        for (String zone : cluster.settings.zones()) {
             if (!best.isEmpty() && (fetches(job, best) == 0 || !needsImage(job, best.get(0).type))) {
                 return best;
             }
@@ -313,22 +313,22 @@
             }
             machines.add(machine);
             Claim claim = new Claim(job, index, 0, machine.name, machine.session, now);
-            board.add(claim);
+            cluster.add(claim);
             tried.add(claim);
             index = job.taken.nextClearBit(index);
         }
-        tried.forEach(c -> board.remove(c, false));
+        tried.forEach(c -> cluster.remove(c, false));
         return machines;
     }
 
     Machine choose(Job job, Predicate<Machine> usable, long now) {
-        if (!board.withinLimit(job)) {
+        if (!cluster.withinLimit(job)) {
             return null;
         }
         Machine[] best = new Machine[1];
-        board.rooms.atLeast(job.spec.cpus(), m -> {
+        cluster.rooms.atLeast(job.spec.cpus(), m -> {
             if (m.hasRoom(job)
-                    && board.reservations.leaveRoom(m, job)
+                    && cluster.reservations.leaveRoom(m, job)
                     && allowed(job, m, now)
                     && usable.test(m)
                     && (best[0] == null || better(job, m, best[0]))) {
@@ -381,7 +381,7 @@
 
     /** Seconds within which tasks of this job shall start; without end when nothing is said of that. */
     double startAim(Job job) {
-        for (Settings.Objective aim : board.settings.objectives()) {
+        for (Settings.Objective aim : cluster.settings.objectives()) {
             if (aim.kind().equals("wait") && aim.jobClass().equals(job.spec.jobClass())) {
                 return aim.withinS();
             }
@@ -391,11 +391,11 @@
 
     /** Why the next task of this job has not started, in words for operators. */
     String whyWaiting(Job job, long now) {
-        if (!board.withinLimit(job)) {
+        if (!cluster.withinLimit(job)) {
             return "its team is at its limit";
         }
         int allowed = 0;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             allowed += m.type != null && allowed(job, m, now) ? 1 : 0;
         }
         return allowed == 0
@@ -409,7 +409,7 @@
         return m.usable()
                 && m.silence == null
                 && now >= m.placeAfter
-                && now - m.heardAt < 3000 * board.settings.workers().reportS()
+                && now - m.heardAt < 3000 * cluster.settings.workers().reportS()
                 && spec.fitsType(m.type)
                 && (spec.zone() == null || spec.zone().equals(m.zone))
                 && (spec.spot() || !m.spot)
--- a/src/main/java/stileferry/coordination/Preemption.java
+++ b/src/main/java/stileferry/coordination/Preemption.java
@@ -34,12 +34,12 @@
 
     private static final double[] NOTHING = new double[3];
 
-    private final Board board;
+    private final ClusterState cluster;
     private final Placement placement;
     private int looksLeft;
 
-    Preemption(Board board, Placement placement) {
-        this.board = board;
+    Preemption(ClusterState cluster, Placement placement) {
+        this.cluster = cluster;
         this.placement = placement;
     }
 
@@ -114,39 +114,40 @@
     /** Decides for the waiting jobs, in queue order; room already being made is kept for the first that fit it. */
     List<Stop> decide(List<Job> waiting, long now, long urgentAfterMs, long timeOfDay) {
         Plan plan = new Plan();
-        board.stopping.forEach(plan::give);
-        Map<List<Object>, Placement.Misfits> misfits = new HashMap<>();
-        looksLeft = LOOKS_PER_MACHINE * board.machines.size() + LEAST_LOOKS;
+        cluster.stopping.forEach(plan::give);
+        Map<List<Object>, Placement.UnplaceableRequests> unplaceable = new HashMap<>();
+        looksLeft = LOOKS_PER_MACHINE * cluster.machines.size() + LEAST_LOOKS;
         for (Job job : waiting) {
             if (looksLeft <= 0) {
                 break; // the rest in a later turn
             }
-            if (!mayPreempt(job, timeOfDay, urgentAfterMs) || !board.withinLimit(job) || !anyToStop(job)) {
+            if (!mayPreempt(job, timeOfDay, urgentAfterMs) || !cluster.withinLimit(job) || !anyToStop(job)) {
                 continue;
             }
             if (job.spec.gang()) {
                 plan = makeRoomForAll(job, now, plan);
                 continue;
             }
-            Placement.Misfits same = misfits.computeIfAbsent(
-                    List.of(job.spec.priority(), job.withinGuarantee, job.spec.team()), k -> new Placement.Misfits());
+            Placement.UnplaceableRequests same = unplaceable.computeIfAbsent(
+                    List.of(job.spec.priority(), job.withinGuarantee, job.spec.team()),
+                    k -> new Placement.UnplaceableRequests());
             if (!same.cover(job) && makeRoom(job, null, now, plan) == 0) {
                 same.add(job);
             }
         }
-        board.reservations.clear();
-        plan.placed.forEach(task -> board.reservations.add(task.getKey(), task.getValue()));
+        cluster.reservations.clear();
+        plan.placed.forEach(task -> cluster.reservations.add(task.getKey(), task.getValue()));
         return plan.stops;
     }
 
     /** Whether anything runs that might be stopped for this job; spares looking at every machine. */
     private boolean anyToStop(Job job) {
-        if (board.anyBelow(job.spec.priority())) {
+        if (cluster.anyBelow(job.spec.priority())) {
             return true;
         }
         if (job.withinGuarantee) {
-            for (Settings.Team team : board.settings.teams()) {
-                if (!team.name().equals(job.spec.team()) && board.beyondGuarantee(team.name(), 0, 0)) {
+            for (Settings.Team team : cluster.settings.teams()) {
+                if (!team.name().equals(job.spec.team()) && cluster.beyondGuarantee(team.name(), 0, 0)) {
                     return true;
                 }
             }
@@ -173,7 +174,7 @@
     private Plan makeRoomForAll(Job job, long now, Plan before) {
         int tasks = job.waitingCount();
         Plan best = null;
-        for (String zone : job.spec.oneZone() ? board.settings.zones() : Collections.<String>singletonList(null)) {
+        for (String zone : job.spec.oneZone() ? cluster.settings.zones() : Collections.<String>singletonList(null)) {
             Plan here = before.copy();
             if (makeRoom(job, zone, now, here) == tasks && here.betterThan(best)) {
                 best = here;
@@ -190,7 +191,7 @@
         PriorityQueue<Option> options = new PriorityQueue<>(Comparator.comparing(Option::fetch)
                 .thenComparingLong(Option::loss)
                 .thenComparing(Option::machine));
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.heard && (zone == null || zone.equals(m.zone)) && placement.allowed(job, m, now)) {
                 looksLeft--;
                 offer(options, option(job, m, now, plan));
@@ -245,7 +246,7 @@
         if (job.spec.priority() == JobSpec.Priority.CRITICAL || job.spec.gang() && placement.startAim(job) < saves) {
             return true;
         }
-        for (Settings.Objective aim : board.settings.objectives()) {
+        for (Settings.Objective aim : cluster.settings.objectives()) {
             if (job.withinGuarantee && aim.kind().equals("guarantee") && aim.withinS() < saves) {
                 return true;
             }
@@ -310,6 +311,6 @@
         return job.withinGuarantee
                 && !c.job.withinGuarantee
                 && !c.job.spec.team().equals(job.spec.team())
-                && board.beyondGuarantee(c.job.spec.team(), back[0] + givenCpus, back[1] + givenGpus);
+                && cluster.beyondGuarantee(c.job.spec.team(), back[0] + givenCpus, back[1] + givenGpus);
     }
 }
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -1,7 +1,7 @@
 package stileferry.coordination;
 
 import java.util.List;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 import stileferry.protocol.Settings;
 
 /** Dealings with the cloud in one term: rents for what waits, returns what is idle, and watches the list. */
@@ -11,13 +11,13 @@
     private final MachineReturns returns;
     private final Rentals rentals;
 
-    Provisioning(Board board, Outside outside, Fleet fleet, long term) {
-        Settings settings = board.settings;
-        this.cloud =
-                new CloudClient(outside, settings.cloudAddr(), settings.cloud().rps());
-        this.list = new MachineList(board, outside, cloud, fleet.commands()::announceTerm);
-        this.returns = new MachineReturns(board, outside, fleet, cloud, list);
-        this.rentals = new Rentals(board, outside, fleet, cloud, term);
+    Provisioning(ClusterState cluster, Environment environment, Fleet fleet, long term) {
+        Settings settings = cluster.settings;
+        this.cloud = new CloudClient(
+                environment, settings.cloudAddr(), settings.cloud().rps());
+        this.list = new MachineList(cluster, environment, cloud, fleet.commands()::announceTerm);
+        this.returns = new MachineReturns(cluster, environment, fleet, cloud, list);
+        this.rentals = new Rentals(cluster, environment, fleet, cloud, term);
     }
 
     void close() {
--- a/src/main/java/stileferry/coordination/Rentals.java
+++ b/src/main/java/stileferry/coordination/Rentals.java
@@ -10,11 +10,11 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.Messages;
 import stileferry.protocol.Options;
-import stileferry.protocol.Outside;
 import stileferry.protocol.Settings;
 
 /** Rents machines for the jobs that wait, each request under a name that is never used again. */
@@ -26,8 +26,8 @@
     /** A request without an answer is sent again after this. */
     private static final long REPEAT_MS = 6000;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Fleet fleet;
     private final CloudClient cloud;
     private final String requestPrefix;
@@ -39,14 +39,14 @@
     private int spotMachines;
     private int allMachines;
 
-    Rentals(Board board, Outside outside, Fleet fleet, CloudClient cloud, long term) {
-        this.board = board;
-        this.outside = outside;
+    Rentals(ClusterState cluster, Environment environment, Fleet fleet, CloudClient cloud, long term) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.fleet = fleet;
         this.cloud = cloud;
-        this.since = outside.now();
+        this.since = environment.now();
         // No other leader has this term, so no name of a rental request is ever used twice.
-        this.requestPrefix = "r-" + board.settings.node() + "-" + term + "-";
+        this.requestPrefix = "r-" + cluster.settings.node() + "-" + term + "-";
     }
 
     private static final class Refusal {
@@ -80,7 +80,7 @@
         Map<String, Integer> perZone = new HashMap<>();
         spotMachines = 0;
         allMachines = 0;
-        for (Machine m : board.machines.values()) {
+        for (Machine m : cluster.machines.values()) {
             if (m.deleting || m.type == null) {
                 continue;
             }
@@ -130,7 +130,8 @@
                 return;
             }
             RentalBin b = bins.get(0);
-            Rental rental = new Rental(requestPrefix + ++requests, b.type, b.zone, b.spot, bins.size(), outside.now());
+            Rental rental =
+                    new Rental(requestPrefix + ++requests, b.type, b.zone, b.spot, bins.size(), environment.now());
             rentals.add(rental);
             send(rental);
         }
@@ -138,12 +139,12 @@
 
     /** How many of a job's waiting tasks its team may still run, after what earlier jobs were promised. */
     private int withinLimit(Job job, Map<String, Double> teamCpus) {
-        Settings.Team team = board.settings.team(job.spec.team());
+        Settings.Team team = cluster.settings.team(job.spec.team());
         int tasks = job.waitingCount();
         if (team == null || team.cpusMax() == 0 || job.spec.cpus() == 0) {
             return tasks;
         }
-        double used = teamCpus.getOrDefault(team.name(), board.cpusOf(team.name()));
+        double used = teamCpus.getOrDefault(team.name(), cluster.cpusOf(team.name()));
         int most = (int) Math.max(0, Math.min(tasks, (team.cpusMax() - used + 1e-6) / job.spec.cpus()));
         teamCpus.put(team.name(), used + most * job.spec.cpus());
         return most;
@@ -191,14 +192,14 @@
     /** The machine to rent next for a job that nothing that is coming has room for. */
     private RentalBin cheapest(JobSpec spec, Map<String, Integer> perZone, String onlyZone) {
         RentalBin best = null;
-        boolean moreSpot = spotMachines + 1 <= board.options.number(Options.SPOT_SHARE) * (allMachines + 1);
-        for (MachineType type : board.types) {
+        boolean moreSpot = spotMachines + 1 <= cluster.options.number(Options.SPOT_SHARE) * (allMachines + 1);
+        for (MachineType type : cluster.types) {
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     RentalBin bin = new RentalBin(type, zone, spot);
                     Refusal refusal = refusals.get(group(type, zone, spot));
                     if ((!spot || moreSpot)
-                            && (refusal == null || refusal.until <= outside.now())
+                            && (refusal == null || refusal.until <= environment.now())
                             && !unreachable.contains(zone)
                             && bin.fits(spec)
                             && (onlyZone == null || onlyZone.equals(zone))
@@ -226,9 +227,9 @@
 
     private void repeatRentals() {
         for (Rental r : List.copyOf(rentals)) {
-            if (outside.now() - r.sentAt > REPEAT_MS && cloud.mayCall()) {
+            if (environment.now() - r.sentAt > REPEAT_MS && cloud.mayCall()) {
                 rentals.remove(r);
-                Rental again = new Rental(r.request, r.type, r.zone, r.spot, r.count, outside.now());
+                Rental again = new Rental(r.request, r.type, r.zone, r.spot, r.count, environment.now());
                 rentals.add(again);
                 send(again);
             }
@@ -256,13 +257,13 @@
                     r.type.name(),
                     r.zone);
             for (String name : names) {
-                Machine m = board.machine(name);
+                Machine m = cluster.machine(name);
                 m.type = r.type;
                 m.typeName = r.type.name();
                 m.spot = r.spot;
                 m.rentedAt = r.sentAt;
                 m.booting = !m.heard;
-                board.setZone(m, r.zone);
+                cluster.setZone(m, r.zone);
             }
             if (names.size() < r.count) {
                 refuse(group, r);
@@ -282,7 +283,7 @@
     private void refuse(String group, Rental r) {
         Refusal refusal = refusals.computeIfAbsent(group, g -> new Refusal());
         long pause = Math.round(r.type.bootS() * 500) << Math.min(1, refusal.count++);
-        refusal.until = outside.now() + pause;
+        refusal.until = environment.now() + pause;
         LOG.info(
                 "no more {} {} in {}, asking again in {} s",
                 r.spot ? "spot" : "ordinary",
--- a/src/main/java/stileferry/coordination/Silences.java
+++ b/src/main/java/stileferry/coordination/SilenceRecords.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 import stileferry.storage.Ledger;
 
 /**
@@ -17,11 +17,11 @@
  * answered, it is durable that the note no longer holds; so whoever reads a note that stands knows that its writer
  * renewed nothing since.
  *
- * <p>Only the very next leader may go by a note: every leader notes for itself what it knows. Caretakers answer
+ * <p>Only the very next leader may go by a note: every leader notes for itself what it knows. Leaderless renewal answers
  * without a look at notes, but only with the consent of every controller's process, so a process remembers when it last
  * consented, or that it did not live yet.
  */
-final class Silences {
+final class SilenceRecords {
     private static final Logger LOG = LoggerFactory.getLogger("fleet");
 
     /** Kinds of events in the records, beside those of tasks. */
@@ -38,8 +38,8 @@
     /** Bytes of an event in JSON form beside the machine's name. */
     private static final int BYTES = 64;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Ledger ledger;
     private final Leadership leadership;
     private final long term;
@@ -135,14 +135,14 @@
         }
     }
 
-    Silences(Board board, Outside outside, Ledger ledger, Leadership leadership, long term) {
-        this.board = board;
-        this.outside = outside;
+    SilenceRecords(ClusterState cluster, Environment environment, Ledger ledger, Leadership leadership, long term) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.ledger = ledger;
         this.leadership = leadership;
         this.term = term;
-        this.reportMs = Math.round(board.settings.workers().reportS() * 1000);
-        this.clockOffMs = board.settings.clockOffMs();
+        this.reportMs = Math.round(cluster.settings.workers().reportS() * 1000);
+        this.clockOffMs = cluster.settings.clockOffMs();
     }
 
     /** Takes in what the former leader noted, once the claims are known. */
@@ -152,12 +152,12 @@
         }
         int taken = 0;
         for (Silence s : notes) {
-            Machine m = board.machines.get(s.machine);
+            Machine m = cluster.machines.get(s.machine);
             if (m == null || s.term != term - 1) {
                 continue;
             }
-            long ago = outside.timeOfDay() - s.answeredAt - (long) Math.ceil(2 * clockOffMs);
-            m.answeredBefore = Math.max(outside.now() - ago, leadership.consentedAt());
+            long ago = environment.timeOfDay() - s.answeredAt - (long) Math.ceil(2 * clockOffMs);
+            m.answeredBefore = Math.max(environment.now() - ago, leadership.consentedAt());
             m.answeredBeforeSession = s.session;
             taken++;
         }
@@ -168,9 +168,9 @@
 
     /** Notes a machine whose last report, of this session, was answered then, if it is silent for long enough. */
     void note(Machine m, long session, long answeredAt) {
-        long ago = outside.now() - answeredAt;
+        long ago = environment.now() - answeredAt;
         if (m.silence == null && !m.claims.isEmpty() && ago > NOTE_AFTER_REPORTS * reportMs && leadership.sure()) {
-            m.silence = new Silence(m.name, session, outside.timeOfDay() - ago, term);
+            m.silence = new Silence(m.name, session, environment.timeOfDay() - ago, term);
             ledger.log(new Silent(m.silence), null);
         }
     }
@@ -179,10 +179,10 @@
     void heard(Machine m, Runnable answer, Runnable refuse) {
         List<Waiting> before = waiting.get(m);
         if (before != null) {
-            before.add(new Waiting(outside.now(), answer, refuse));
+            before.add(new Waiting(environment.now(), answer, refuse));
             return;
         }
-        waiting.put(m, new ArrayList<>(List.of(new Waiting(outside.now(), answer, refuse))));
+        waiting.put(m, new ArrayList<>(List.of(new Waiting(environment.now(), answer, refuse))));
         Silence silence = m.silence;
         ledger.log(new Heard(m.name), () -> {
             silence.over = true;
@@ -193,7 +193,7 @@
 
     /** Refuses what has waited for too long; its worker asks again. */
     void giveUp() {
-        long before = outside.now() - DURABLE_MS;
+        long before = environment.now() - DURABLE_MS;
         for (List<Waiting> reports : waiting.values()) {
             reports.removeIf(w -> {
                 if (w.since < before) {
--- a/src/main/java/stileferry/coordination/StateLoader.java
+++ b/src/main/java/stileferry/coordination/StateLoader.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.Options;
-import stileferry.protocol.Outside;
 import stileferry.storage.Ledger;
 import stileferry.storage.StateClient;
 
@@ -20,9 +20,9 @@
     /** Records of an older form, read and then replaced. */
     private static final String OLD_PARTS = "c/";
 
-    private final Outside outside;
+    private final Environment environment;
     private final StateClient state;
-    private final Board board;
+    private final ClusterState cluster;
     private final Ledger ledger;
     private final Listener listener;
     private boolean closed;
@@ -40,12 +40,12 @@
     }
 
     /** What was read beside jobs and claims. */
-    record Loaded(long optionsRevision, int claims, Iterable<Silences.Silence> silences) {}
+    record Loaded(long optionsRevision, int claims, Iterable<SilenceRecords.Silence> silences) {}
 
-    StateLoader(Outside outside, StateClient state, Board board, Ledger ledger, Listener listener) {
-        this.outside = outside;
+    StateLoader(Environment environment, StateClient state, ClusterState cluster, Ledger ledger, Listener listener) {
+        this.environment = environment;
         this.state = state;
-        this.board = board;
+        this.cluster = cluster;
         this.ledger = ledger;
         this.listener = listener;
     }
@@ -69,7 +69,7 @@
                 return;
             }
             if (read.rows() == null) {
-                outside.after(RETRY_MS, this::load);
+                environment.after(RETRY_MS, this::load);
                 return;
             }
             if (prefixes.get(0).equals(Job.PREFIX)) {
@@ -102,16 +102,16 @@
             if (status == 200) {
                 listener.options(Options.read(body.path("v")));
             } else if (status != 404) {
-                outside.after(RETRY_MS, this::load);
+                environment.after(RETRY_MS, this::load);
                 return;
             }
             long revision = status == 200 ? body.path("entry_rev").asLong() : 0;
             buildJobs(rows.get(0));
-            TaskEvents.Reader reader = new TaskEvents.Reader(board.jobs);
+            TaskEvents.Reader reader = new TaskEvents.Reader(cluster.jobs);
             buildFromOldParts(rows.get(2), reader);
             buildFromRecords(rows.get(1), reader);
             List<Claim> claims = reader.claims();
-            claims.forEach(board::add);
+            claims.forEach(cluster::add);
             listener.loaded(new Loaded(revision, claims.size(), reader.silences()));
         });
     }
@@ -124,18 +124,18 @@
             } catch (JobSpec.Malformed e) {
                 // its user was told that it is accepted, so nobody may hear that it is unknown
                 LOG.error("the record {} can't be read, its job can't run: {}", row.key(), e.getMessage());
-                board.unreadable.add(id(row));
+                cluster.unreadable.add(id(row));
             }
         }
         jobs.sort(Comparator.comparingLong(j -> j.order));
-        jobs.forEach(job -> board.jobs.put(job.spec.id(), job));
+        jobs.forEach(job -> cluster.jobs.put(job.spec.id(), job));
     }
 
     private void buildFromOldParts(List<StateClient.Row> rows, TaskEvents.Reader reader) {
         long number = 0;
         for (StateClient.Row row : rows) {
             String[] key = row.key().split("/");
-            Job job = key.length == 3 ? board.jobs.get(key[1]) : null;
+            Job job = key.length == 3 ? cluster.jobs.get(key[1]) : null;
             // what is left of a job that ended is deleted like the others, with nothing kept of it
             List<Ledger.Event> events =
                     job == null ? List.of() : reader.readChunk(job, Integer.parseInt(key[2]), row.value(), --number);
--- a/src/main/java/stileferry/coordination/TaskEvents.java
+++ b/src/main/java/stileferry/coordination/TaskEvents.java
@@ -133,7 +133,7 @@
     static final class Reader {
         private final Map<String, Job> jobs;
         private final Map<Job, Map<Integer, Claim>> claims = new LinkedHashMap<>(); // so that seeds repeat
-        private final Map<String, Silences.Silence> silences = new HashMap<>();
+        private final Map<String, SilenceRecords.Silence> silences = new HashMap<>();
 
         Reader(Map<String, Job> jobs) {
             this.jobs = jobs;
@@ -144,11 +144,11 @@
             List<Ledger.Event> events = new ArrayList<>();
             for (JsonNode e : record.path("e")) {
                 int kind = e.path(0).asInt(-1);
-                if (kind == Silences.SILENT) {
-                    silences.put(e.path(1).asText(), Silences.Silence.read(e));
+                if (kind == SilenceRecords.SILENT) {
+                    silences.put(e.path(1).asText(), SilenceRecords.Silence.read(e));
                     continue;
                 }
-                if (kind == Silences.HEARD) {
+                if (kind == SilenceRecords.HEARD) {
                     silences.remove(e.path(1).asText());
                     continue;
                 }
@@ -232,7 +232,7 @@
         }
 
         /** The silences of machines that stand after all records. */
-        Iterable<Silences.Silence> silences() {
+        Iterable<SilenceRecords.Silence> silences() {
             return silences.values();
         }
 
--- a/src/main/java/stileferry/coordination/TaskLifecycle.java
+++ b/src/main/java/stileferry/coordination/TaskLifecycle.java
@@ -5,8 +5,8 @@
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
 import stileferry.protocol.ExitReason;
-import stileferry.protocol.Outside;
 import stileferry.protocol.Report;
 import stileferry.storage.Ledger;
 
@@ -19,8 +19,8 @@
 
     private static final double SLOWDOWN_THRESHOLD_S = 60;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final Ledger ledger;
     private final TermNumbers numbers;
     private final Fleet fleet;
@@ -35,21 +35,21 @@
      * @param changed run when something changed that a pass may use
      */
     TaskLifecycle(
-            Board board,
-            Outside outside,
+            ClusterState cluster,
+            Environment environment,
             Ledger ledger,
             TermNumbers numbers,
             Function<Fleet.Events, Fleet> createFleet,
             Function<TaskLifecycle, JobEnds> createJobEnds,
             Runnable changed) {
-        this.board = board;
-        this.outside = outside;
+        this.cluster = cluster;
+        this.environment = environment;
         this.ledger = ledger;
         this.numbers = numbers;
         this.fleet = createFleet.apply(this);
         this.jobEnds = createJobEnds.apply(this);
         this.changed = changed;
-        this.roundMs = board.settings.workers().reportRoundMs();
+        this.roundMs = cluster.settings.workers().reportRoundMs();
     }
 
     Fleet fleet() {
@@ -76,7 +76,7 @@
 
     /** Starts the next waiting task of a job, or all tasks of a gang, on these machines. */
     void start(Job job, List<Machine> machines, boolean overdue) {
-        long now = outside.now();
+        long now = environment.now();
         int index = job.nextWaiting(now);
         // The tasks of a gang find each other by their attempt, so it is the same for all of them.
         long attempt = numbers.next();
@@ -89,7 +89,7 @@
             Claim claim = new Claim(job, index, attempt, machine.name, machine.session, now);
             claim.overdue = overdue;
             claim.gangAttempt = gangAttempt;
-            board.add(claim);
+            cluster.add(claim);
             ledger.log(TaskEvents.claimed(claim), () -> claimDurable(claim, machine));
             index = job.taken.nextClearBit(index);
         }
@@ -109,7 +109,7 @@
     private void startWhole(Job job, GangAttempt attempt) {
         for (Claim claim : job.claims.values()) {
             if (claim.gangAttempt == attempt && mayStart(claim)) {
-                fleet.commands().sendSoon(board.machine(claim.machine));
+                fleet.commands().sendSoon(cluster.machine(claim.machine));
             }
         }
     }
@@ -138,7 +138,7 @@
      */
     private boolean allHear(Job gang) {
         for (Claim claim : gang.claims.values()) {
-            if (!fleet.failures().hears(board.machine(claim.machine))) {
+            if (!fleet.failures().hears(cluster.machine(claim.machine))) {
                 LOG.info("gang {} is stopped without saving: {} may not hear it", gang.spec.id(), claim.machine);
                 return false;
             }
@@ -156,8 +156,8 @@
             settle(claim, false, null);
             return;
         }
-        board.stop(claim, graceS, outside.now());
-        fleet.commands().sendSoon(board.machine(claim.machine));
+        cluster.stop(claim, graceS, environment.now());
+        fleet.commands().sendSoon(cluster.machine(claim.machine));
     }
 
     @Override
@@ -166,7 +166,7 @@
         if (job.claims.get(claim.index) != claim) {
             return; // ended with its gang
         }
-        long now = outside.now();
+        long now = environment.now();
         boolean done = t.reason() == ExitReason.DONE && !job.spec.service();
         List<Claim> others = done && job.spec.gang() ? finishGang(job, claim) : List.of();
         machine.settling.add(t.key());
@@ -191,7 +191,7 @@
                     claim.job.spec.jobClass(),
                     machine.name,
                     t.reason(),
-                    claim.orderedAt - now + outside.timeOfDay() - claim.job.acceptedAt,
+                    claim.orderedAt - now + environment.timeOfDay() - claim.job.acceptedAt,
                     claim.runningAt - claim.orderedAt,
                     now - claim.runningAt);
         }
@@ -211,7 +211,7 @@
 
     /** The outcome of a task that ended with its gang is durable. */
     private void mayClear(Claim claim) {
-        Machine machine = board.machines.get(claim.machine);
+        Machine machine = cluster.machines.get(claim.machine);
         if (machine != null) {
             machine.settling.remove(claim.key);
         }
@@ -267,10 +267,10 @@
         List<Claim> others = new ArrayList<>(job.claims.values());
         others.remove(first);
         for (Claim claim : others) {
-            board.remove(claim, true);
-            Machine machine = board.machine(claim.machine);
+            cluster.remove(claim, true);
+            Machine machine = cluster.machine(claim.machine);
             machine.settling.add(claim.key);
-            machine.idleSince = machine.claims.isEmpty() ? outside.now() : machine.idleSince;
+            machine.idleSince = machine.claims.isEmpty() ? environment.now() : machine.idleSince;
         }
         for (int i = 0; i < job.spec.tasks(); i++) {
             if (first == null || i != first.index) {
@@ -298,7 +298,7 @@
      */
     void stopBrokenAttempt(Job job) {
         if (job.spec.gang() && !job.claims.isEmpty() && !job.claimsFormOneAttempt()) {
-            List.copyOf(job.claims.values()).forEach(claim -> board.stop(claim, 0, outside.now()));
+            List.copyOf(job.claims.values()).forEach(claim -> cluster.stop(claim, 0, environment.now()));
         }
     }
 
@@ -309,7 +309,7 @@
     private void judge(Machine machine) {
         int weight = 0;
         for (var failure : machine.failures.entrySet()) {
-            Job job = board.jobs.get(failure.getKey());
+            Job job = cluster.jobs.get(failure.getKey());
             if (job == null || job.failedOn.size() < 3) {
                 weight += job != null && job.successes > 0 ? Math.min(2, failure.getValue()) : 1;
             }
@@ -337,10 +337,10 @@
 
     private void settle(Claim claim, boolean done, Runnable onDurable) {
         Job job = claim.job;
-        Machine machine = board.machine(claim.machine);
-        board.remove(claim, done);
+        Machine machine = cluster.machine(claim.machine);
+        cluster.remove(claim, done);
         if (machine.claims.isEmpty()) {
-            machine.idleSince = outside.now();
+            machine.idleSince = environment.now();
         }
         if (job.unfinished() == 0 && !job.cancelled) {
             jobEnds.end(job, "done", onDurable);
--- a/src/main/java/stileferry/coordination/Users.java
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -7,12 +7,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
-import stileferry.protocol.Outside;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 import stileferry.storage.Ledger;
 import stileferry.storage.StateClient;
 
@@ -27,11 +27,11 @@
     /** Users wait this long for a change to be durable: less than their own patience of 5 s. */
     private static final long DURABLE_MS = 3000;
 
-    private final Board board;
-    private final Outside outside;
+    private final ClusterState cluster;
+    private final Environment environment;
     private final StateClient state;
     private final Ledger ledger;
-    private final EndedJobs ended;
+    private final EndedJobCache ended;
     private final Lead lead;
 
     /** Jobs whose users wait for something to be durable. */
@@ -52,9 +52,15 @@
         void cancel(Job job);
     }
 
-    Users(Board board, Outside outside, StateClient state, Ledger ledger, EndedJobs ended, Lead lead) {
-        this.board = board;
-        this.outside = outside;
+    Users(
+            ClusterState cluster,
+            Environment environment,
+            StateClient state,
+            Ledger ledger,
+            EndedJobCache ended,
+            Lead lead) {
+        this.cluster = cluster;
+        this.environment = environment;
         this.state = state;
         this.ledger = ledger;
         this.ended = ended;
@@ -63,21 +69,21 @@
 
     /** Tells all who wait that nothing more will be known here. */
     void close() {
-        for (Job job : board.jobs.values()) {
+        for (Job job : cluster.jobs.values()) {
             answer(job, unavailable());
         }
     }
 
     static PeerRecord.Answer ok(int status, ObjectNode body) {
-        return new PeerRecord.Answer(status, 0, Wire.encode(body));
+        return new PeerRecord.Answer(status, 0, MessageCodec.encode(body));
     }
 
     static PeerRecord.Answer unavailable() {
-        return new PeerRecord.Answer(503, 1, Wire.encode(Messages.error("not available, try again")));
+        return new PeerRecord.Answer(503, 1, MessageCodec.encode(Messages.error("not available, try again")));
     }
 
     static PeerRecord.Answer refusal(int status, String reason) {
-        return new PeerRecord.Answer(status, 0, Wire.encode(Messages.error(reason)));
+        return new PeerRecord.Answer(status, 0, MessageCodec.encode(Messages.error(reason)));
     }
 
     /** Answers all who wait for this job. */
@@ -92,14 +98,14 @@
     private void await(Job job, Consumer<PeerRecord.Answer> reply) {
         job.waiting.add(reply);
         if (job.waitingSince == 0) {
-            job.waitingSince = outside.now();
+            job.waitingSince = environment.now();
             awaited.add(job);
         }
     }
 
     /** Users whose change is not durable in time hear at once that it isn't known yet, and when to come back. */
     void giveUpWaiting() {
-        long now = outside.now();
+        long now = environment.now();
         boolean sure = lead.serving();
         for (Job job : List.copyOf(awaited)) {
             if (!sure || now - job.waitingSince > DURABLE_MS) {
@@ -125,8 +131,8 @@
     }
 
     /** Looks an id up among the ended jobs; the status is 0 when that can't be told now. */
-    private void lookUp(String id, Consumer<EndedJobs.Ended> known, Runnable unknown, Runnable failed) {
-        EndedJobs.Ended cached = ended.get(id);
+    private void lookUp(String id, Consumer<EndedJobCache.Ended> known, Runnable unknown, Runnable failed) {
+        EndedJobCache.Ended cached = ended.get(id);
         if (cached != null) {
             known.accept(cached);
             return;
@@ -135,7 +141,7 @@
             if (!lead.serving() || status != 200 && status != 404) {
                 failed.run();
             } else if (status == 200) {
-                EndedJobs.Ended read = EndedJobs.Ended.read(body.path("v"));
+                EndedJobCache.Ended read = EndedJobCache.Ended.read(body.path("v"));
                 ended.put(id, read);
                 known.accept(read);
             } else {
@@ -149,32 +155,32 @@
             reply.accept(unavailable());
             return;
         }
-        JsonNode body = Wire.decode(bytes);
+        JsonNode body = MessageCodec.decode(bytes);
         String id = body == null ? "" : body.path("name_id").asText("");
         if (!JobSpec.validId(id)) {
             reply.accept(refusal(400, "not a map with a valid job id"));
             return;
         }
-        Job job = board.jobs.get(id);
+        Job job = cluster.jobs.get(id);
         if (job != null) {
             join(job, reply);
             return;
         }
-        if (board.unreadable.contains(id)) {
+        if (cluster.unreadable.contains(id)) {
             reply.accept(unreadable(id));
             return;
         }
         long behindS = behindS();
         if (behindS > 0) { // it would only wait, and everything behind it
             reply.accept(new PeerRecord.Answer(
-                    503, (int) behindS, Wire.encode(Messages.error("too much to do, try again"))));
+                    503, (int) behindS, MessageCodec.encode(Messages.error("too much to do, try again"))));
             return;
         }
         lookUp(
                 id,
                 e -> reply.accept(ok(200, e.answer(id))),
                 () -> {
-                    Job meanwhile = board.jobs.get(id);
+                    Job meanwhile = cluster.jobs.get(id);
                     if (meanwhile != null) {
                         join(meanwhile, reply);
                     } else if (ended.get(id) != null) {
@@ -189,8 +195,8 @@
     /** Seconds after which a submission is worth another try when the state service can't take it soon; 0: it can. */
     private long behindS() {
         double seconds = Math.max(
-                ledger.backlog() / board.settings.state().writeRps(),
-                state.waiting() / board.settings.state().rps());
+                ledger.backlog() / cluster.settings.state().writeRps(),
+                state.waiting() / cluster.settings.state().rps());
         return seconds < BEHIND_S ? 0 : (long) Math.ceil(seconds);
     }
 
@@ -210,20 +216,20 @@
             reply.accept(refusal(400, e.getMessage()));
             return;
         }
-        Settings.Team team = board.settings.team(spec.team());
+        Settings.Team team = cluster.settings.team(spec.team());
         if (team == null) {
             reply.accept(refusal(422, "unknown team"));
             return;
         }
-        if (board.types.isEmpty()) {
+        if (cluster.types.isEmpty()) {
             reply.accept(unavailable());
             return;
         }
-        if (board.types.stream().noneMatch(spec::fitsType)) {
+        if (cluster.types.stream().noneMatch(spec::fitsType)) {
             reply.accept(refusal(422, "a task fits no allowed machine type"));
             return;
         }
-        if (!spec.canRunTogether(board.types)) {
+        if (!spec.canRunTogether(cluster.types)) {
             reply.accept(refusal(422, "its tasks can't all run at the same time"));
             return;
         }
@@ -233,13 +239,13 @@
             reply.accept(refusal(422, "more than the team's limit"));
             return;
         }
-        Job job = new Job(spec, lead.number(), outside.timeOfDay(), 0);
-        if (job.record.value().toString().length() > board.settings.state().valueKb() * 1024 * FILL) {
+        Job job = new Job(spec, lead.number(), environment.timeOfDay(), 0);
+        if (job.record.value().toString().length() > cluster.settings.state().valueKb() * 1024 * FILL) {
             reply.accept(refusal(422, "its description is larger than can be kept"));
             return;
         }
         await(job, reply);
-        board.jobs.put(spec.id(), job);
+        cluster.jobs.put(spec.id(), job);
         ledger.put(job.record, () -> {
             job.accepted = true;
             answer(job, ok(201, Messages.jobState(spec.id(), "pending", 0, 0)));
@@ -252,12 +258,12 @@
             reply.accept(unavailable());
             return;
         }
-        Job job = board.jobs.get(id);
+        Job job = cluster.jobs.get(id);
         if (job != null) {
             reply.accept(state(job, 200));
             return;
         }
-        if (board.unreadable.contains(id)) {
+        if (cluster.unreadable.contains(id)) {
             reply.accept(unreadable(id));
             return;
         }
@@ -265,7 +271,7 @@
                 id,
                 e -> reply.accept(ok(200, e.answer(id))),
                 () -> {
-                    Job meanwhile = board.jobs.get(id);
+                    Job meanwhile = cluster.jobs.get(id);
                     reply.accept(meanwhile != null ? state(meanwhile, 200) : endedMeanwhile(id));
                 },
                 () -> reply.accept(unavailable()));
@@ -273,7 +279,7 @@
 
     /** The answer about a job that is not alive and had not ended when that was asked: it may have lived in between. */
     private PeerRecord.Answer endedMeanwhile(String id) {
-        EndedJobs.Ended now = ended.get(id);
+        EndedJobCache.Ended now = ended.get(id);
         return now == null ? refusal(404, "no such job") : ok(200, now.answer(id));
     }
 
@@ -282,14 +288,14 @@
             reply.accept(unavailable());
             return;
         }
-        Job job = board.jobs.get(id);
-        if (job == null && board.unreadable.contains(id)) {
+        Job job = cluster.jobs.get(id);
+        if (job == null && cluster.unreadable.contains(id)) {
             reply.accept(unavailable());
         } else if (job == null) {
             lookUp(
                     id,
                     e -> reply.accept(ok(200, e.answer(id))),
-                    () -> reply.accept(board.jobs.containsKey(id) ? unavailable() : endedMeanwhile(id)),
+                    () -> reply.accept(cluster.jobs.containsKey(id) ? unavailable() : endedMeanwhile(id)),
                     () -> reply.accept(unavailable()));
         } else if (!job.accepted) {
             reply.accept(unavailable());
--- a/src/main/java/stileferry/protocol/Outside.java
+++ b/src/main/java/stileferry/protocol/Environment.java
@@ -8,7 +8,7 @@
  * All that the single owner of the state can see and do outside itself. Every reply comes back on the owner's
  * own turn, so whoever implements this decides what the world is: sockets, or a simulation.
  */
-public interface Outside {
+public interface Environment {
     /** The status of a request whose outcome is unknown. */
     int NO_ANSWER = 0;
 
--- a/src/main/java/stileferry/protocol/JobSpec.java
+++ b/src/main/java/stileferry/protocol/JobSpec.java
@@ -112,7 +112,7 @@
 
     /** The job in the same form as it was submitted. */
     public ObjectNode write() {
-        ObjectNode n = Wire.map();
+        ObjectNode n = MessageCodec.map();
         n.put("name_id", id).put("berth", jobClass).put("crew", team).put("craft", kind.word);
         n.put("precedence", priority.name().toLowerCase(java.util.Locale.ROOT)).put("passengers", tasks);
         n.put("cores", cpus)
--- a/src/main/java/stileferry/protocol/Wire.java
+++ b/src/main/java/stileferry/protocol/MessageCodec.java
@@ -17,7 +17,7 @@
  * The body format of every outside interface, MessagePack, as Jackson trees. They are built and written through
  * Jackson's streams alone: setting up its object mapper costs a small machine as much as a second of its time.
  */
-public final class Wire {
+public final class MessageCodec {
     /** The largest body taken or sent, on interfaces that have a limit. */
     public static final int MAX_BODY = 64 * 1024;
 
@@ -26,7 +26,7 @@
 
     private static final MessagePackFactory FACTORY = new MessagePackFactory();
 
-    private Wire() {}
+    private MessageCodec() {}
 
     /** A new empty map. */
     public static ObjectNode map() {
--- a/src/main/java/stileferry/protocol/Messages.java
+++ b/src/main/java/stileferry/protocol/Messages.java
@@ -31,7 +31,7 @@
 
     /** The body of a user's answer about a job. */
     public static ObjectNode jobState(String id, String state, int done, int running) {
-        return Wire.map()
+        return MessageCodec.map()
                 .put("name_id", id)
                 .put("tide", state)
                 .put("done", done)
@@ -40,17 +40,17 @@
 
     /** A refusal with its reason. */
     public static ObjectNode error(String reason) {
-        return Wire.map().put("error", reason);
+        return MessageCodec.map().put("error", reason);
     }
 
     /** The answer that sends a worker to another node. */
     public static ObjectNode reportTo(String node) {
-        return Wire.map().put("harbormaster", node);
+        return MessageCodec.map().put("harbormaster", node);
     }
 
     /** The answer to a report. */
     public static ObjectNode signals(long token, Collection<Signal> signals) {
-        ObjectNode body = Wire.map().put("helm", token);
+        ObjectNode body = MessageCodec.map().put("helm", token);
         ArrayNode list = body.putArray("signals");
         for (Signal s : signals) {
             ObjectNode n = list.addObject();
@@ -70,7 +70,7 @@
 
     /** A rental request. */
     public static ObjectNode rent(String request, String type, String zone, boolean spot, int count) {
-        return Wire.map()
+        return MessageCodec.map()
                 .put("charter", request)
                 .put("hull", type)
                 .put("harbor", zone)
@@ -80,7 +80,7 @@
 
     /** A list of machine names, as deletion asks for it. */
     public static ObjectNode machines(Collection<String> names) {
-        ObjectNode body = Wire.map();
+        ObjectNode body = MessageCodec.map();
         names.forEach(body.putArray("fleet")::add);
         return body;
     }
--- a/src/main/java/stileferry/protocol/Options.java
+++ b/src/main/java/stileferry/protocol/Options.java
@@ -113,7 +113,7 @@
 
     /** The form in which the settings are stored. */
     public ObjectNode write() {
-        ObjectNode n = Wire.map().put("revision", revision);
+        ObjectNode n = MessageCodec.map().put("revision", revision);
         n.putObject("values").setAll(changed);
         return n;
     }
@@ -202,7 +202,7 @@
 
     /** All settings with values, defaults, limits and meaning. */
     public ObjectNode describe() {
-        ObjectNode n = Wire.map().put("revision", revision);
+        ObjectNode n = MessageCodec.map().put("revision", revision);
         ArrayNode list = n.putArray("settings");
         for (Definition d : ALL) {
             ObjectNode o = list.addObject().put("name", d.name);
--- a/src/main/java/stileferry/protocol/PeerRecord.java
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -140,7 +140,7 @@
 
     private static byte[] readBytes(DataInputStream in) throws IOException {
         int length = in.readInt();
-        if (length < 0 || length > 2 * Wire.MAX_BODY) {
+        if (length < 0 || length > 2 * MessageCodec.MAX_BODY) {
             throw new IOException("bad length");
         }
         byte[] bytes = new byte[length];
--- a/src/main/java/stileferry/protocol/Report.java
+++ b/src/main/java/stileferry/protocol/Report.java
@@ -59,7 +59,7 @@
      * @param last the last report of a machine, or null
      */
     public static Report read(byte[] body, Function<String, Report> last) {
-        try (JsonParser p = Wire.parser(body)) {
+        try (JsonParser p = MessageCodec.parser(body)) {
             return p.nextToken() == JsonToken.START_OBJECT ? read(p, body, last) : null;
         } catch (IOException | RuntimeException e) {
             return null; // the decoder throws unchecked exceptions for some malformed input
@@ -94,7 +94,7 @@
         byte[] encoded = null;
         boolean whole = false;
         for (String name = p.nextFieldName(); name != null; name = p.nextFieldName()) {
-            int at = name.equals(TASKS) && body.length > 0 ? Wire.position(p) : body.length;
+            int at = name.equals(TASKS) && body.length > 0 ? MessageCodec.position(p) : body.length;
             Report known = at < body.length && machine != null ? last.apply(machine) : null;
             if (known != null && known.endsAs(body, at)) {
                 tasks = known.tasks;
--- a/src/main/java/stileferry/protocol/SettingsReader.java
+++ b/src/main/java/stileferry/protocol/SettingsReader.java
@@ -28,7 +28,7 @@
     public static Result read(String json) {
         JsonNode root;
         try (JsonParser p = new JsonFactory().createParser(json)) {
-            root = Wire.tree(p);
+            root = MessageCodec.tree(p);
         } catch (IOException e) {
             String reason = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
             return new Result(null, List.of("not valid JSON: " + reason));
--- a/src/main/java/stileferry/standin/Worker.java
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import stileferry.protocol.JobSpec;
-import stileferry.protocol.Wire;
+import stileferry.protocol.MessageCodec;
 
 /** A stand-in for the worker on one machine, after the published protocol. Time comes from outside. */
 public final class Worker {
@@ -227,7 +227,7 @@
 
     /** The worker's report, as it stands. */
     public ObjectNode report() {
-        ObjectNode n = Wire.map()
+        ObjectNode n = MessageCodec.map()
                 .put("vessel", machine)
                 .put("addr", addr)
                 .put("hull", type)
--- a/src/main/java/stileferry/storage/Budget.java
+++ b/src/main/java/stileferry/storage/Budget.java
@@ -1,22 +1,22 @@
 package stileferry.storage;
 
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 
 /** A token bucket that keeps this client under a service's published rate. */
 public final class Budget {
-    private final Outside outside;
+    private final Environment environment;
     private final double perMs;
     private final double most;
     private double tokens;
     private long filledAt;
 
     /** A bucket for so many a second with a burst worth so many seconds. */
-    public Budget(Outside outside, double perSecond, double burstS) {
-        this.outside = outside;
+    public Budget(Environment environment, double perSecond, double burstS) {
+        this.environment = environment;
         this.perMs = perSecond / 1000;
         this.most = Math.max(1, perSecond * burstS);
         this.tokens = most;
-        this.filledAt = outside.now();
+        this.filledAt = environment.now();
     }
 
     /** Takes tokens if that leaves the reserve (a share of the burst) untouched. */
@@ -41,7 +41,7 @@
     }
 
     private void fill() {
-        long now = outside.now();
+        long now = environment.now();
         tokens = Math.min(most, tokens + (now - filledAt) * perMs);
         filledAt = now;
     }
--- a/src/main/java/stileferry/storage/EventLog.java
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -5,7 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import stileferry.protocol.Wire;
+import stileferry.protocol.MessageCodec;
 
 /**
  * A ring of bounded records that hold events, so that many small changes cost one write. A full ring gives its oldest
@@ -45,7 +45,7 @@
         /** Records that hold what was set aside of this one. */
         final List<Slot> aside = new ArrayList<>();
 
-        ObjectNode value = Wire.map();
+        ObjectNode value = MessageCodec.map();
 
         Slot(String key, long revision, long number) {
             this.entry = new Ledger.Entry(key, revision, () -> this.value);
@@ -212,7 +212,7 @@
     }
 
     private static ObjectNode value(long number, List<Ledger.Event> events) {
-        ObjectNode value = Wire.map().put("n", number);
+        ObjectNode value = MessageCodec.map().put("n", number);
         ArrayNode list = value.putArray("e");
         events.forEach(e -> e.write(list.addArray()));
         return value;
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -11,8 +11,8 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import stileferry.protocol.Outside;
-import stileferry.protocol.Wire;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 
 /**
  * The leader's durable records. Changes are marked, packed into conditional transactions and answered once they
@@ -31,9 +31,9 @@
     public static final String EVENTS = EventLog.PREFIX;
 
     /** Bytes of a transaction, counted in JSON form, kept well below the service's 64 KiB. */
-    private static final int MAX_BYTES = Wire.MAX_BODY * 3 / 4;
+    private static final int MAX_BYTES = MessageCodec.MAX_BODY * 3 / 4;
 
-    private final Outside outside;
+    private final Environment environment;
     private final StateClient state;
     private final String fenceKey;
     private final long fenceRevision;
@@ -95,7 +95,7 @@
 
         /** Names a key that must not exist for this one to be written for the first time. */
         public Entry excludes(String other) {
-            return guardedBy(new Entry(other, 0, Wire::map));
+            return guardedBy(new Entry(other, 0, MessageCodec::map));
         }
 
         boolean flying() {
@@ -117,7 +117,7 @@
         final List<Entry> entries = new ArrayList<>();
         final Set<Entry> deletions = new HashSet<>();
         final List<Runnable> actions = new ArrayList<>();
-        final ObjectNode body = Wire.map();
+        final ObjectNode body = MessageCodec.map();
         final String stamp;
         int bytes;
         boolean ambiguous;
@@ -129,8 +129,14 @@
     }
 
     /** A ledger for one term, fenced by the leader key at the revision it was written with. */
-    public Ledger(Outside outside, StateClient state, String fenceKey, long fenceRevision, long term, Runnable onLost) {
-        this.outside = outside;
+    public Ledger(
+            Environment environment,
+            StateClient state,
+            String fenceKey,
+            long fenceRevision,
+            long term,
+            Runnable onLost) {
+        this.environment = environment;
         this.state = state;
         this.fenceKey = fenceKey;
         this.fenceRevision = fenceRevision;
@@ -309,7 +315,7 @@
                 }
                 default -> {
                     // 429 and 503 say that nothing was done; silence says nothing at all
-                    t.ambiguous |= status != 429 && status != 503 && status != Outside.NOT_SENT;
+                    t.ambiguous |= status != 429 && status != 503 && status != Environment.NOT_SENT;
                     again(t, () -> send(t));
                 }
             }
@@ -318,7 +324,7 @@
 
     private void again(Transaction t, Runnable next) {
         long pause = Math.min(1000, 50L << Math.min(5, t.tries++));
-        outside.after(pause / 2 + outside.random().nextLong(pause), next);
+        environment.after(pause / 2 + environment.random().nextLong(pause), next);
     }
 
     /**
--- a/src/main/java/stileferry/storage/StateClient.java
+++ b/src/main/java/stileferry/storage/StateClient.java
@@ -6,9 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 
 /** The state service's requests, kept under its rates; leadership goes first and has a reserve. */
 public final class StateClient {
@@ -25,7 +25,7 @@
     /** An answer that waits for this process to read it is no lost one. */
     private static final long AMPLE_PATIENCE_MS = 1500;
 
-    private final Outside outside;
+    private final Environment environment;
     private final String addr;
     private final Settings.State limits;
     private final Budget requests;
@@ -43,13 +43,13 @@
     public record Rows(List<Row> rows, long revision) {}
 
     /** A client of the service that the settings name. */
-    public StateClient(Outside outside, Settings settings) {
-        this.outside = outside;
+    public StateClient(Environment environment, Settings settings) {
+        this.environment = environment;
         this.addr = settings.stateAddr();
         this.limits = settings.state();
         this.patienceMs = Math.round(AMPLE_PATIENCE_MS * settings.slowness());
-        this.requests = new Budget(outside, limits.rps() * SHARE, 0.5);
-        this.writes = new Budget(outside, limits.writeRps() * SHARE, 1.0);
+        this.requests = new Budget(environment, limits.rps() * SHARE, 0.5);
+        this.writes = new Budget(environment, limits.writeRps() * SHARE, 1.0);
     }
 
     /** The service's limits. */
@@ -69,7 +69,7 @@
 
     /** Runs something when there may be room again. */
     public void later(Runnable task) {
-        outside.after(PUMP_MS, task);
+        environment.after(PUMP_MS, task);
     }
 
     /** Reads and writes that wait for their turn. */
@@ -83,8 +83,8 @@
     }
 
     /** Reads one key. */
-    public void get(String key, Outside.Reply reply) {
-        send(0, false, () -> outside.call(addr, "GET", "/kv/" + key, null, patienceMs(), reply));
+    public void get(String key, Environment.Reply reply) {
+        send(0, false, () -> environment.call(addr, "GET", "/kv/" + key, null, patienceMs(), reply));
     }
 
     /** Reads all keys with a prefix, page by page. */
@@ -97,7 +97,7 @@
         send(
                 0,
                 urgent,
-                () -> outside.call(addr, "GET", path, null, 2 * patienceMs(), (status, body) -> {
+                () -> environment.call(addr, "GET", path, null, 2 * patienceMs(), (status, body) -> {
                     if (status != 200 || body == null) {
                         done.accept(new Rows(null, 0));
                         return;
@@ -117,35 +117,36 @@
     }
 
     /** Sends a transaction. */
-    public void commit(ObjectNode transaction, int writeCount, boolean urgent, Outside.Reply reply) {
-        send(writeCount, urgent, () -> outside.call(addr, "POST", "/commit", transaction, patienceMs(), reply));
+    public void commit(ObjectNode transaction, int writeCount, boolean urgent, Environment.Reply reply) {
+        send(writeCount, urgent, () -> environment.call(addr, "POST", "/commit", transaction, patienceMs(), reply));
     }
 
     /** Asks for a lease. */
-    public void lease(long lifeMs, Outside.Reply reply) {
+    public void lease(long lifeMs, Environment.Reply reply) {
         send(
                 0,
                 true,
-                () -> outside.call(addr, "POST", "/leases", Wire.map().put("life_ms", lifeMs), patienceMs(), reply));
+                () -> environment.call(
+                        addr, "POST", "/leases", MessageCodec.map().put("life_ms", lifeMs), patienceMs(), reply));
     }
 
     /** Renews a lease; not queued, as its time counts from the sending. */
-    public void touch(String lease, long timeoutMs, Outside.Reply reply) {
+    public void touch(String lease, long timeoutMs, Environment.Reply reply) {
         requests.take(1, -1);
-        outside.call(addr, "POST", "/leases/" + lease + "/touch", Wire.map(), timeoutMs, reply);
+        environment.call(addr, "POST", "/leases/" + lease + "/touch", MessageCodec.map(), timeoutMs, reply);
     }
 
     /** Ends a lease. */
-    public void end(String lease, Outside.Reply reply) {
-        send(0, true, () -> outside.call(addr, "DELETE", "/leases/" + lease, null, patienceMs(), reply));
+    public void end(String lease, Environment.Reply reply) {
+        send(0, true, () -> environment.call(addr, "DELETE", "/leases/" + lease, null, patienceMs(), reply));
     }
 
     /** Waits for changes below a prefix. */
-    public void watch(String prefix, long from, long blockMs, Outside.Reply reply) {
+    public void watch(String prefix, long from, long blockMs, Environment.Reply reply) {
         send(
                 0,
                 true,
-                () -> outside.call(
+                () -> environment.call(
                         addr,
                         "GET",
                         "/watch?starts=" + prefix + "&from=" + from + "&block_ms=" + blockMs,
@@ -175,7 +176,7 @@
             if (next.writeCount > 0 && !writes.take(next.writeCount, 0) || !requests.take(1, RESERVE)) {
                 if (!pumping) {
                     pumping = true;
-                    outside.after(PUMP_MS, () -> {
+                    environment.after(PUMP_MS, () -> {
                         pumping = false;
                         pump();
                     });
--- a/src/main/java/stileferry/transport/Loop.java
+++ b/src/main/java/stileferry/transport/EventLoop.java
@@ -10,7 +10,7 @@
 import org.xnio.XnioWorker;
 
 /** The one worker with its one IO thread and its buffers, which servers and clients of a process share. */
-final class Loop implements AutoCloseable {
+final class EventLoop implements AutoCloseable {
     private static final int BUFFER_BYTES = 8 * 1024;
 
     final XnioWorker worker;
@@ -18,7 +18,7 @@
     final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
     final HttpCaller http;
 
-    Loop(int idleConnections) throws IOException {
+    EventLoop(int idleConnections) throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
--- a/src/main/java/stileferry/transport/HttpCaller.java
+++ b/src/main/java/stileferry/transport/HttpCaller.java
@@ -24,7 +24,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
 
 /** HTTP requests over kept connections, each with a time limit. All of it runs on the one IO thread. */
 final class HttpCaller {
@@ -45,7 +45,7 @@
 
     /** Takes an answer. */
     interface Answer {
-        /** Called once, with an HTTP status, {@link Outside#NO_ANSWER} or {@link Outside#NOT_SENT}. */
+        /** Called once, with an HTTP status, {@link Environment#NO_ANSWER} or {@link Environment#NOT_SENT}. */
         void done(int status, byte[] body);
     }
 
@@ -262,7 +262,7 @@
             over = true;
             timer.remove();
             IoUtils.safeClose(connection);
-            answer.done(sent ? Outside.NO_ANSWER : Outside.NOT_SENT, new byte[0]);
+            answer.done(sent ? Environment.NO_ANSWER : Environment.NOT_SENT, new byte[0]);
         }
     }
 }
--- a/src/main/java/stileferry/transport/NetworkOutside.java
+++ b/src/main/java/stileferry/transport/NetworkEnvironment.java
@@ -8,13 +8,13 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.xnio.XnioIoThread;
-import stileferry.protocol.Outside;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Settings;
-import stileferry.protocol.Wire;
 
 /** The real outside: sockets, clocks and timers, with replies put into the owner's queue. */
-final class NetworkOutside implements Outside {
+final class NetworkEnvironment implements Environment {
     static final String PEER_PATH = "/peer";
 
     private static final byte[] NOTHING = new byte[0];
@@ -30,7 +30,7 @@
 
     private volatile boolean closed;
 
-    NetworkOutside(Owner owner, Loop loop, int mostForwards) {
+    NetworkEnvironment(Owner owner, EventLoop loop, int mostForwards) {
         this.mostForwards = mostForwards;
         this.owner = owner;
         this.thread = loop.thread;
@@ -81,10 +81,10 @@
                 addr,
                 method,
                 path,
-                body == null ? NOTHING : Wire.encode(body),
+                body == null ? NOTHING : MessageCodec.encode(body),
                 timeoutMs,
                 (status, bytes) ->
-                        owner.submit(() -> reply.done(status, bytes.length == 0 ? null : Wire.decode(bytes))));
+                        owner.submit(() -> reply.done(status, bytes.length == 0 ? null : MessageCodec.decode(bytes))));
     }
 
     @Override
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -21,9 +21,9 @@
     /** At least this long: users ask again within some seconds. */
     private static final int LEAST_IDLE_MS = 20_000;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Owner owner;
-    private final NetworkOutside outside;
+    private final NetworkEnvironment environment;
     private final Undertow users;
     private final Undertow peers;
     private final int idleMs;
@@ -35,7 +35,7 @@
      * classes from the jar while another read from its sockets ended the runtime within libc's read.
      */
     public static Node open(Settings settings) throws IOException {
-        Loop loop = new Loop(settings.sockets().idle());
+        EventLoop loop = new EventLoop(settings.sockets().idle());
         FutureTask<Node> opening = new FutureTask<>(() -> new Node(settings, loop));
         loop.thread.execute(opening);
         try {
@@ -51,14 +51,14 @@
         }
     }
 
-    private Node(Settings settings, Loop loop) {
+    private Node(Settings settings, EventLoop loop) {
         this.loop = loop;
         idleMs = (int)
                 Math.max(LEAST_IDLE_MS, IDLE_REPORTS * 1000 * settings.workers().reportS());
         Sockets sockets = settings.sockets();
         owner = new Owner(loop.thread);
-        outside = new NetworkOutside(owner, loop, sockets.forwards());
-        Coordinator coordinator = new Coordinator(settings, outside);
+        environment = new NetworkEnvironment(owner, loop, sockets.forwards());
+        Coordinator coordinator = new Coordinator(settings, environment);
         owner.afterBatch(coordinator::endOfBatch);
         peers = server(settings.peerListen(), sockets.peers(), new PeerServer(owner, coordinator));
         users = server(
@@ -104,7 +104,7 @@
     @Override
     public void close() {
         owner.close();
-        outside.close();
+        environment.close();
         users.stop();
         peers.stop();
         loop.close();
--- a/src/main/java/stileferry/transport/PeerServer.java
+++ b/src/main/java/stileferry/transport/PeerServer.java
@@ -4,8 +4,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import stileferry.coordination.Coordinator;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
-import stileferry.protocol.Wire;
 
 /** The address for the other controllers. */
 final class PeerServer implements HttpHandler {
@@ -19,11 +19,11 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        if (!exchange.getRequestPath().equals(NetworkOutside.PEER_PATH)) {
+        if (!exchange.getRequestPath().equals(NetworkEnvironment.PEER_PATH)) {
             UserServer.refuse(exchange, 404, "no such path");
             return;
         }
-        Bodies.read(exchange, 2 * Wire.MAX_BODY, body -> {
+        RequestBodies.read(exchange, 2 * MessageCodec.MAX_BODY, body -> {
             PeerRecord record = PeerRecord.read(body);
             if (record == null) {
                 UserServer.refuse(exchange, 400, "not a record");
--- a/src/main/java/stileferry/transport/Bodies.java
+++ b/src/main/java/stileferry/transport/RequestBodies.java
@@ -4,8 +4,8 @@
 import java.util.function.Consumer;
 
 /** Reads request bodies up to a limit, without waiting and without reading what is too long. */
-final class Bodies {
-    private Bodies() {}
+final class RequestBodies {
+    private RequestBodies() {}
 
     static void read(HttpServerExchange exchange, int limit, Consumer<byte[]> handler) {
         if (exchange.getRequestContentLength() > limit) {
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -9,9 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
-import stileferry.protocol.Outside;
-import stileferry.protocol.Wire;
+import stileferry.protocol.MessageCodec;
 import stileferry.standin.Cloud;
 import stileferry.standin.Gangs;
 import stileferry.standin.StateService;
@@ -37,7 +37,7 @@
 
     private static final byte[] NOTHING = new byte[0];
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final int port;
     private final Size size;
     private final List<String> controllers;
@@ -60,7 +60,7 @@
     public StandInHost(int port, List<String> controllers, List<String> names, Size size) throws IOException {
         this.port = port;
         this.size = size;
-        this.loop = new Loop(size.machines());
+        this.loop = new EventLoop(size.machines());
         this.controllers = List.copyOf(controllers);
         this.names = List.copyOf(names);
         this.cloud = new Cloud(TYPE, 8, 32, 1, List.of("a", "b"), size.machines() / 4, 500, this::boot, this::remove);
@@ -101,16 +101,16 @@
     }
 
     private void handle(HttpServerExchange exchange) {
-        Bodies.read(
+        RequestBodies.read(
                 exchange,
-                Wire.MAX_BODY,
+                MessageCodec.MAX_BODY,
                 bytes -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                    JsonNode body = bytes.length == 0 ? Wire.map() : Wire.decode(bytes);
+                    JsonNode body = bytes.length == 0 ? MessageCodec.map() : MessageCodec.decode(bytes);
                     String path = exchange.getRequestPath();
                     String full = exchange.getQueryString().isEmpty() ? path : path + "?" + exchange.getQueryString();
                     String method = exchange.getRequestMethod().toString();
-                    Outside.Reply reply = (status, answer) ->
-                            UserServer.send(exchange, status, 0, answer == null ? NOTHING : Wire.encode(answer));
+                    Environment.Reply reply = (status, answer) -> UserServer.send(
+                            exchange, status, 0, answer == null ? NOTHING : MessageCodec.encode(answer));
                     if (path.equals("/commands")) {
                         String host =
                                 exchange.getDestinationAddress().getAddress().getHostAddress();
@@ -171,8 +171,13 @@
         long sentAt = now();
         long session = worker.session();
         loop.http.call(
-                controllers.get(to), "POST", "/v1/report", Wire.encode(worker.report()), 4000, (status, bytes) -> {
-                    JsonNode body = bytes.length == 0 ? null : Wire.decode(bytes);
+                controllers.get(to),
+                "POST",
+                "/v1/report",
+                MessageCodec.encode(worker.report()),
+                4000,
+                (status, bytes) -> {
+                    JsonNode body = bytes.length == 0 ? null : MessageCodec.decode(bytes);
                     int named = body == null
                             ? -1
                             : names.indexOf(body.path("harbormaster").asText());
--- a/src/main/java/stileferry/transport/UserClient.java
+++ b/src/main/java/stileferry/transport/UserClient.java
@@ -7,15 +7,15 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import stileferry.protocol.Outside;
-import stileferry.protocol.Wire;
+import stileferry.protocol.Environment;
+import stileferry.protocol.MessageCodec;
 
 /** A client for users and operators: waits for answers, and repeats requests as the protocol asks. */
 public final class UserClient implements AutoCloseable {
     private static final long ANSWER_MS = 5000;
     private static final long REPEAT_MS = 1000;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final List<String> addrs;
     private int next;
 
@@ -25,7 +25,7 @@
     /** A client of the controllers at these addresses. */
     public UserClient(List<String> addrs) throws IOException {
         this.addrs = List.copyOf(addrs);
-        this.loop = new Loop(this.addrs.size());
+        this.loop = new EventLoop(this.addrs.size());
     }
 
     /** Asks one controller once; each call takes the next address. */
@@ -38,11 +38,12 @@
                 path,
                 body,
                 ANSWER_MS,
-                (status, bytes) -> answer.complete(new Answer(status, bytes.length == 0 ? null : Wire.decode(bytes)))));
+                (status, bytes) ->
+                        answer.complete(new Answer(status, bytes.length == 0 ? null : MessageCodec.decode(bytes)))));
         try {
             return answer.get(2 * ANSWER_MS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
-            return new Answer(Outside.NO_ANSWER, null);
+            return new Answer(Environment.NO_ANSWER, null);
         }
     }
 
--- a/src/main/java/stileferry/transport/UserServer.java
+++ b/src/main/java/stileferry/transport/UserServer.java
@@ -13,11 +13,11 @@
 import org.xnio.IoUtils;
 import stileferry.coordination.Coordinator;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.PeerRecord.Ask;
 import stileferry.protocol.Sockets;
-import stileferry.protocol.Wire;
 
 /** The address for users, workers and health checks: takes requests apart and hands them to the owner. */
 final class UserServer implements HttpHandler {
@@ -26,7 +26,7 @@
     private static final String WITHDRAW = "/withdraw";
     private static final String ADMIN = "/admin/";
 
-    private static final byte[] TOO_MUCH = Wire.encode(Messages.error("too much to do, try again"));
+    private static final byte[] TOO_MUCH = MessageCodec.encode(Messages.error("too much to do, try again"));
 
     private final Owner owner;
     private final Limiter<Void> limiter;
@@ -142,14 +142,14 @@
 
     private static void post(HttpServerExchange exchange, Consumer<byte[]> handler) {
         if (exchange.getRequestMethod().equals(Methods.POST)) {
-            Bodies.read(exchange, Wire.MAX_BODY, handler);
+            RequestBodies.read(exchange, MessageCodec.MAX_BODY, handler);
         } else {
             refuse(exchange, 405, "only POST here");
         }
     }
 
     static void refuse(HttpServerExchange exchange, int status, String reason) {
-        send(exchange, status, 0, Wire.encode(Messages.error(reason)));
+        send(exchange, status, 0, MessageCodec.encode(Messages.error(reason)));
     }
 
     private static void send(HttpServerExchange exchange, PeerRecord.Answer answer) {
