--- a/src/main/java/stileferry/Controller.java
+++ b/src/main/java/stileferry/Controller.java
@@ -1,18 +1,24 @@
 package stileferry;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.util.concurrent.CountDownLatch;
+import stileferry.protocol.Features;
 import stileferry.protocol.Settings;
 import stileferry.transport.Node;
 
 /** One controller, for programs that embed it and for the daemon. */
 public final class Controller implements AutoCloseable {
     private final Settings settings;
+    private final Features features;
+    private final InetAddress sourceAddress;
     private final CountDownLatch closed = new CountDownLatch(1);
     private Node node;
 
-    private Controller(Settings settings) {
-        this.settings = settings;
+    private Controller(Builder builder) {
+        this.settings = builder.settings;
+        this.features = builder.features;
+        this.sourceAddress = builder.sourceAddress;
     }
 
     /** Starts describing a controller. */
@@ -23,6 +29,8 @@
     /** Describes a controller. */
     public static final class Builder {
         private Settings settings;
+        private Features features = Features.NONE;
+        private InetAddress sourceAddress;
 
         private Builder() {}
 
@@ -32,12 +40,24 @@
             return this;
         }
 
+        /** Which optional parts are on; none unless this is called. */
+        public Builder features(Features value) {
+            features = value;
+            return this;
+        }
+
+        /** The address that outgoing connections come from, on machines with several; null: the system chooses. */
+        public Builder sourceAddress(InetAddress value) {
+            sourceAddress = value;
+            return this;
+        }
+
         /** A controller that has not started. */
         public Controller build() {
             if (settings == null) {
                 throw new IllegalStateException("a controller needs settings");
             }
-            return new Controller(settings);
+            return new Controller(this);
         }
     }
 
@@ -46,7 +66,7 @@
         if (node != null) {
             throw new IllegalStateException("started already");
         }
-        node = Node.open(settings);
+        node = Node.open(settings, features, sourceAddress);
     }
 
     /** Closes the addresses and stops all work; what is durable stays. */
--- a/src/main/java/stileferry/cli/AdminCommand.java
+++ b/src/main/java/stileferry/cli/AdminCommand.java
@@ -135,7 +135,7 @@
     /** Shows a view. */
     @Command(
             name = "show",
-            description = "Shows leader, machines, queue, teams or counters, as JSON.",
+            description = "Shows leader, machines, queue, teams, counters or links, as JSON.",
             mixinStandardHelpOptions = true,
             footer = {"", "Example: stileferry admin show --node 127.0.0.1:7701 queue"})
     static final class Show implements Callable<Integer> {
@@ -145,7 +145,8 @@
             MACHINES,
             QUEUE,
             TEAMS,
-            COUNTERS
+            COUNTERS,
+            LINKS
         }
 
         @Mixin
--- a/src/main/java/stileferry/cli/CheckConfig.java
+++ b/src/main/java/stileferry/cli/CheckConfig.java
@@ -1,9 +1,12 @@
 package stileferry.cli;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import stileferry.protocol.Features;
 import stileferry.protocol.SettingsReader;
 
 /** Checks a settings file without starting anything. */
@@ -16,6 +19,9 @@
     @Parameters(paramLabel = "FILE", description = "The settings, as JSON.")
     private Path config;
 
+    @Option(names = "--features", paramLabel = "FILE", description = "The features file to check with it.")
+    private Path featuresFile;
+
     @Override
     public Integer call() {
         SettingsReader.Result read = SettingsFile.read(config);
@@ -23,7 +29,14 @@
             read.problems().forEach(p -> System.err.println("stileferry: settings: " + p));
             return 2;
         }
+        Features.Result features = FeaturesFile.read(featuresFile);
+        if (features.features() == null) {
+            System.err.println("stileferry: features: " + features.problem());
+            return 2;
+        }
         System.out.println("settings are usable");
+        List<String> on = features.features().on();
+        System.out.println("features on: " + (on.isEmpty() ? "none" : String.join(", ", on)));
         return 0;
     }
 }
--- a/src/main/java/stileferry/cli/Daemon.java
+++ b/src/main/java/stileferry/cli/Daemon.java
@@ -10,11 +10,12 @@
 
 /**
  * Where service managers start a controller: the same as the command {@code serve}, without the command line around it.
- * Its one option is read by Commons CLI. Picocli's classes are of a form that the runtime can't archive, and to set up
+ * Its options are read by Commons CLI. Picocli's classes are of a form that the runtime can't archive, and to set up
  * its commands takes half a second of processor time, which is five seconds of absence on a tenth of a core.
  */
 public final class Daemon {
     private static final String CONFIG = "config";
+    private static final String FEATURES = "features";
 
     private Daemon() {}
 
@@ -30,16 +31,18 @@
         // tenth of a second to set up. It goes on without when there is none.
         System.setProperty("javax.management.builder.initial", "none");
         Options options = new Options()
-                .addOption(Option.builder().longOpt(CONFIG).hasArg().required().get());
+                .addOption(Option.builder().longOpt(CONFIG).hasArg().required().get())
+                .addOption(Option.builder().longOpt(FEATURES).hasArg().get());
         try {
             CommandLine line = new DefaultParser().parse(options, args);
             if (!line.getArgList().isEmpty()) {
                 throw new ParseException(
                         "unknown argument: " + line.getArgList().get(0));
             }
-            return Serve.run(Path.of(line.getOptionValue(CONFIG)));
+            String features = line.getOptionValue(FEATURES);
+            return Serve.run(Path.of(line.getOptionValue(CONFIG)), features == null ? null : Path.of(features));
         } catch (ParseException e) {
-            System.err.println("stileferry: " + e.getMessage() + " (usage: --config FILE)");
+            System.err.println("stileferry: " + e.getMessage() + " (usage: --config FILE [--features FILE])");
             return 2;
         }
     }
--- a/src/main/java/stileferry/cli/Serve.java
+++ b/src/main/java/stileferry/cli/Serve.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import stileferry.Controller;
+import stileferry.protocol.Features;
 import stileferry.protocol.SettingsReader;
 
 /** Runs a controller until the process is killed. */
@@ -17,21 +18,31 @@
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, as JSON.")
     private Path config;
 
+    @Option(names = "--features", paramLabel = "FILE", description = "What is turned on, as JSON; all is off without.")
+    private Path features;
+
     @Override
     public Integer call() {
-        return run(config);
+        return run(config, features);
     }
 
-    /** Runs a controller with the settings in this file and returns the exit code. */
-    static int run(Path config) {
+    /** Runs a controller with the settings and the features in these files (null: none) and returns the exit code. */
+    static int run(Path config, Path featuresFile) {
         SettingsReader.Result read = SettingsFile.read(config);
         if (read.settings() == null) {
             System.err.println("stileferry: settings: " + read.problems().get(0));
             return 2;
         }
+        Features.Result features = FeaturesFile.read(featuresFile);
+        if (features.features() == null) {
+            System.err.println("stileferry: features: " + features.problem());
+            return 2;
+        }
         try {
-            Controller controller =
-                    Controller.builder().settings(read.settings()).build();
+            Controller controller = Controller.builder()
+                    .settings(read.settings())
+                    .features(features.features())
+                    .build();
             controller.start();
             controller.awaitClosed(); // this thread reads nothing any more, see Node
             return 0;
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/Connectivity.java
@@ -0,0 +1,379 @@
+package stileferry.connectivity;
+
+import static stileferry.connectivity.InvalidInputException.require;
+import static stileferry.connectivity.InvalidInputException.requireName;
+import static stileferry.connectivity.InvalidInputException.requireTime;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import stileferry.connectivity.ReachabilityView.Header;
+import stileferry.connectivity.ReachabilityView.ProbeTarget;
+
+/**
+ * What one controller knows of all links, and what follows from it. A host program tells it what it sees, with the time
+ * of a steady clock in milliseconds, carries its views to the other controllers and back, and asks it for advice.
+ *
+ * <p>Not safe for use by several threads. Input that can't be right throws {@link InvalidInputException} and changes
+ * nothing. A time before the last one counts as the last one.
+ */
+public final class Connectivity {
+    /** Probes that wait to be sent; more are forgotten, since they come again. */
+    private static final int MOST_PROBES = 64;
+
+    private final ConnectivityConfig config;
+    private final ObservedLinks links;
+    private final ViewLog sent = new ViewLog();
+    private final ViewWriter writer;
+    private final ProbePlanner planner;
+    private final LeadershipControl control;
+    private final DecisionGate gate;
+
+    /** Workers that shall be asked whether requests reach them, in the order of their arrival. */
+    private final Map<String, ProbeTarget> probes = new LinkedHashMap<>();
+
+    private long incarnation;
+    private long withheld;
+    private long staleViews;
+
+    /**
+     * Begins to watch.
+     *
+     * @param incarnation higher than that of the process's former lives, such as the time of day at its start
+     */
+    public Connectivity(ConnectivityConfig config, long incarnation, long now) {
+        require(config != null, "config", "missing");
+        require(incarnation > 0, "incarnation", "must be above 0");
+        requireTime(now);
+        this.config = config;
+        this.incarnation = incarnation;
+        links = new ObservedLinks(config, now);
+        writer = new ViewWriter(config, links.workers, sent);
+        planner = new ProbePlanner(config);
+        control = new LeadershipControl(links, planner);
+        gate = new DecisionGate(config);
+    }
+
+    // ---- what the host sees
+
+    /** The state service has answered. */
+    public void storeAnswered(long time) {
+        links.advance(time);
+        links.store.confirmed(links.now());
+    }
+
+    /** A request to the state service failed. */
+    public void storeFailed(FailureKind kind, long time) {
+        require(kind != null, "kind", "missing");
+        links.advance(time);
+        links.store.failed(kind);
+    }
+
+    /** Another controller answered a request of this one. */
+    public void peerAnswered(String peer, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        links.advance(time);
+        known.everHeard = true;
+        known.outbound.confirmed(links.now());
+    }
+
+    /** Another controller sent something by itself. */
+    public void peerHeard(String peer, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        links.advance(time);
+        known.everHeard = true;
+        known.inbound.confirmed(links.now());
+    }
+
+    /** A request to another controller failed. */
+    public void peerFailed(String peer, FailureKind kind, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        require(kind != null, "kind", "missing");
+        links.advance(time);
+        known.outbound.failed(kind);
+    }
+
+    /** A worker should be there, though nothing was heard of it yet; only a leader knows. */
+    public void workerExpected(String worker, String address, long time) {
+        requireName(worker, "worker");
+        require(address != null, "address", "missing");
+        links.advance(time);
+        links.workers.expected(worker, address, links.now());
+    }
+
+    /** A report came straight from its worker; false when it is a copy, or came late. */
+    public boolean workerReported(WorkerReport report, long time) {
+        require(report != null, "report", "missing");
+        links.advance(time);
+        return links.workers.reported(report, links.now());
+    }
+
+    /** A report came by way of another controller. */
+    public void workerRelayed(WorkerReport report, long time) {
+        require(report != null, "report", "missing");
+        links.advance(time);
+        links.workers.relayed(report, links.now());
+    }
+
+    /** The last report that came straight from this worker was answered. */
+    public void workerAnswered(String worker, long time) {
+        requireName(worker, "worker");
+        links.advance(time);
+        links.workers.answered(worker, links.now());
+    }
+
+    /** A worker has answered a request; {@code probe}: one that was sent to find that out. */
+    public void workerReached(String worker, boolean probe, long time) {
+        requireName(worker, "worker");
+        links.advance(time);
+        knowProbed(worker, probe);
+        links.workers.reached(worker, probe, links.now());
+    }
+
+    /** A worker has not answered a request; {@code probe}: one that was sent to find that out. */
+    public void workerMissed(String worker, boolean probe, long time) {
+        requireName(worker, "worker");
+        links.advance(time);
+        knowProbed(worker, probe);
+        links.workers.missed(worker, probe, links.now());
+    }
+
+    /** A follower knows no workers but those that the leader asked it to try; a leader's may be gone by now. */
+    private void knowProbed(String worker, boolean probe) {
+        if (probe && !links.leading()) {
+            links.workers.expected(worker, "", links.now());
+        }
+    }
+
+    /** A worker is gone for good. */
+    public void workerGone(String worker, long time) {
+        requireName(worker, "worker");
+        links.advance(time);
+        links.workers.gone(worker);
+    }
+
+    /** By how much this process's own timers are late, and whether it counts as behind with its work. */
+    public void lagging(long late, boolean behind, long time) {
+        require(late >= 0, "late", "negative");
+        links.advance(time);
+        links.lagging(late, behind);
+    }
+
+    /** This controller leads from now on. */
+    public void leads(long newTerm, long time) {
+        require(newTerm > 0, "term", "must be above 0");
+        links.advance(time);
+        control.leads(newTerm);
+        links.lead(true);
+        planner.reset();
+    }
+
+    /** Who leads in which term, as far as this controller knows; empty: it does not know. */
+    public void leaderKnown(long knownTerm, String name, long time) {
+        require(knownTerm >= 0, "term", "negative");
+        require(name != null, "name", "missing");
+        links.advance(time);
+        control.leaderKnown(knownTerm, name);
+    }
+
+    /** This controller does not lead any more; {@code storeLost}: since the state service did not answer it. */
+    public void follows(boolean storeLost, long time) {
+        links.advance(time);
+        control.follows(storeLost);
+        links.lead(false);
+        planner.reset();
+        probes.clear();
+    }
+
+    // ---- views
+
+    /** The milliseconds after which views should be exchanged with every controller again. */
+    public long exchangeMs() {
+        boolean suspects = links.leading() && links.workers.suspectCount() > 0;
+        return config.exchangeMs(suspects || control.handover().underWay());
+    }
+
+    /** What this controller tells another one now. */
+    public ReachabilityView viewFor(String peer, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        links.advance(time);
+        links.sweep();
+        return writer.write(
+                known,
+                new ViewWriter.Self(incarnation, control.term(), control.leader()),
+                links.standing(),
+                links.leading() ? planner.newest() : List.of(),
+                links.leading() ? control.handover().notice() : null,
+                control.acceptable(known, incarnation),
+                links.now());
+    }
+
+    /** Takes in what another controller says. Old and repeated views change nothing. */
+    public void take(ReachabilityView view, long time) {
+        require(view != null, "view", "missing");
+        Header header = view.header();
+        Peers.Peer peer = links.peers.get(header.sender());
+        view.workers().check();
+        require(header.incarnation() > 0 && header.sequence() > 0, "view", "impossible numbers");
+        require(
+                header.seenIncarnation() != incarnation || header.seenSequence() <= sent.newest(),
+                "view",
+                "from the future: it has seen a view that was never sent");
+        links.advance(time);
+        if (header.seenIncarnation() > incarnation) {
+            incarnation = header.seenIncarnation() + 1; // a former life of this process had a clock that was ahead
+        }
+        boolean ours = header.seenIncarnation() == incarnation;
+        if (!peer.view.take(view, ours ? sent.sentAt(header.seenSequence()) : -1)) {
+            staleViews++;
+            return;
+        }
+        peer.confirm(header, incarnation);
+        control.learnTerm(header.term());
+        if (header.leading() && !links.leading()) {
+            view.probes().forEach(this::queue);
+        }
+        control.hear(peer, view.handover());
+        if (view.acceptedHandover() > 0) {
+            control.handover().accepted(peer.name, header.incarnation(), view.acceptedHandover(), links.now());
+        }
+    }
+
+    /** Whether another controller lately said that it knows a worker. */
+    public boolean knownBy(String peer, String worker, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        requireName(worker, "worker");
+        links.advance(time);
+        return links.peers.fresh(known, links.now()) && known.view.names(worker);
+    }
+
+    /** Whether another controller lately said that its requests do not reach a worker. */
+    public boolean missedBy(String peer, String worker, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        return knownBy(peer, worker, time) && known.view.knows(worker) && !known.view.reaches(worker);
+    }
+
+    /** Who leads in this term or a later one, as another controller lately said; empty: nobody did. */
+    public String leaderSeenByOthers(long leastTerm, long time) {
+        links.advance(time);
+        return links.peers.leaderSeen(leastTerm, links.now());
+    }
+
+    /** Whether another controller, as far as its last words go, is handing over the leadership or has just done so. */
+    public boolean handsOver(String peer, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        links.advance(time);
+        return control.handsOver(known);
+    }
+
+    // ---- probes
+
+    private void queue(ProbeTarget target) {
+        if (probes.size() < MOST_PROBES || probes.containsKey(target.worker())) {
+            probes.put(target.worker(), target);
+        }
+    }
+
+    /** The workers to be asked now whether requests reach them, at most so many; their outcomes are to be told. */
+    public List<ProbeTarget> nextProbes(int most, long time) {
+        require(most >= 0, "most", "negative");
+        links.advance(time);
+        if (links.leading()) {
+            // what is not suspect here needs no question
+            for (WorkerLink link : planner.plan(links.workers, links.now())) {
+                if (link.suspectSince >= 0) {
+                    ProbePlanner.targets(List.of(link)).forEach(this::queue);
+                }
+            }
+        }
+        List<ProbeTarget> next = new ArrayList<>();
+        probes.values().stream().limit(most).forEach(next::add);
+        next.forEach(target -> probes.remove(target.worker()));
+        return next;
+    }
+
+    // ---- decisions
+
+    /** What this controller should do about the leadership. */
+    public Advice advise(long time) {
+        links.advance(time);
+        links.sweep();
+        return control.advise();
+    }
+
+    /** For how long this controller should leave a free leadership to others, in milliseconds. */
+    public long abstainMs(long time) {
+        links.advance(time);
+        return control.abstainMs();
+    }
+
+    /** Whether a decision may be made, as far as links are concerned. */
+    public Verdict permits(Decision decision, long time) {
+        require(decision != null, "decision", "missing");
+        links.advance(time);
+        links.sweep();
+        return count(gate.check(decision, links.evidence(handingOver())));
+    }
+
+    /** Whether a silent worker may be given up, as far as links are concerned. */
+    public Verdict permitsGivingUp(String worker, long time) {
+        requireName(worker, "worker");
+        links.advance(time);
+        links.sweep();
+        Verdict verdict = gate.check(Decision.GIVE_UP_WORKER, links.evidence(handingOver()));
+        WorkerLink link = links.workers.find(worker);
+        if (!verdict.allowed() || link == null || link.suspectSince < 0) {
+            return count(verdict);
+        }
+        long now = links.now();
+        boolean reached = links.peers.anyReaches(worker, now);
+        if (reached && link.keptSince < 0) {
+            link.keptSince = now;
+        }
+        long keptMs = link.keptSince < 0 ? 0 : now - link.keptSince;
+        boolean saysNothing = links.peers.anySaysNothing(worker, now);
+        return count(gate.giveUp(now - link.suspectSince, reached, saysNothing, keptMs));
+    }
+
+    private Verdict count(Verdict verdict) {
+        withheld += verdict.allowed() ? 0 : 1;
+        return verdict;
+    }
+
+    // ---- handing over
+
+    /** Begins to hand over to another controller; false: that is not possible now. No decision is made from here. */
+    public boolean beginHandover(String nominee, long time) {
+        Peers.Peer peer = links.peers.get(nominee);
+        links.advance(time);
+        return control.beginHandover(peer);
+    }
+
+    /** Whether a handover is under way, so that no decision is made. */
+    public boolean handingOver() {
+        return control.handover().underWay();
+    }
+
+    /** What has to be done next in a handover; {@code changesInFlight}: what the state service has not answered yet. */
+    public HandoverAction nextInHandover(int changesInFlight, long time) {
+        require(changesInFlight >= 0, "changesInFlight", "negative");
+        links.advance(time);
+        return control.nextInHandover(changesInFlight);
+    }
+
+    /** This controller has released the leadership, and leaves it to others for a while. */
+    public void released(long time) {
+        links.advance(time);
+        control.released();
+    }
+
+    // ---- for people
+
+    /** All that is known now. */
+    public ConnectivitySnapshot snapshot(long time) {
+        links.advance(time);
+        links.sweep();
+        return SnapshotWriter.write(links, control, withheld, staleViews);
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/InvalidInputException.java
@@ -0,0 +1,33 @@
+package stileferry.connectivity;
+
+/** Input that can't be right. The object that threw it has not changed. */
+public final class InvalidInputException extends IllegalArgumentException {
+    private static final long serialVersionUID = 1;
+
+    private final String argument;
+
+    /** Names the argument and says what is wrong with it. */
+    public InvalidInputException(String argument, String problem) {
+        super(argument + ": " + problem);
+        this.argument = argument;
+    }
+
+    /** The name of the argument that was refused. */
+    public String argument() {
+        return argument;
+    }
+
+    static void require(boolean holds, String argument, String problem) {
+        if (!holds) {
+            throw new InvalidInputException(argument, problem);
+        }
+    }
+
+    static void requireTime(long now) {
+        require(now >= 0, "now", "negative time " + now);
+    }
+
+    static void requireName(String name, String argument) {
+        require(name != null && !name.isEmpty(), argument, "missing or empty");
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/LeadershipAdvisor.java
@@ -0,0 +1,77 @@
+package stileferry.connectivity;
+
+import java.util.List;
+
+/**
+ * Says whether the leader should stay. Who is clearly better must have been so for a while, always the same one, and
+ * the bound on handovers holds on top of that, so that a link that comes and goes can't make leadership wander.
+ */
+final class LeadershipAdvisor {
+    /** Exchange intervals for which somebody must have been clearly better. */
+    private static final int CONFIRM_EXCHANGES = 2;
+
+    /** A leader with less than this share of workers, which hears no controller, may be the one that is cut off. */
+    private static final double CUT_OFF = 0.5;
+
+    private final ConnectivityConfig config;
+    private final HandoverBudget budget;
+    private String candidate = "";
+    private long candidateSince;
+
+    /** Stands for the candidate where the leadership would be released to nobody in particular. */
+    private static final String NOBODY = "\0";
+
+    LeadershipAdvisor(ConnectivityConfig config, HandoverBudget budget) {
+        this.config = config;
+        this.budget = budget;
+    }
+
+    /**
+     * What a leader should do.
+     *
+     * @param own how well it could lead
+     * @param peers how well the others could, as far as that is known and recent
+     * @param peersLost whether other controllers were heard before and none is now
+     */
+    Advice advise(Suitability own, List<Suitability> peers, boolean peersLost, long now) {
+        Suitability best = null;
+        for (Suitability peer : peers) {
+            if (peer.clearlyBetterThan(own) && (best == null || peer.compareTo(best) > 0)) {
+                best = peer;
+            }
+        }
+        boolean cutOff = peersLost && peers.isEmpty() && own.workerShare() < CUT_OFF;
+        String wanted = best != null ? best.controller() : cutOff ? NOBODY : "";
+        if (!wanted.equals(candidate)) {
+            candidate = wanted;
+            candidateSince = now;
+        }
+        if (wanted.isEmpty()) {
+            return Advice.of(Advice.Action.STAY, "nobody is clearly better");
+        }
+        if (now - candidateSince < CONFIRM_EXCHANGES * config.exchangeMs(true)) {
+            return Advice.of(Advice.Action.STAY, "not yet confirmed");
+        }
+        if (!budget.allows(now)) {
+            return Advice.of(Advice.Action.STAY, "leadership has changed too often lately");
+        }
+        if (best == null) {
+            return Advice.of(Advice.Action.STEP_DOWN, "no controller and few workers are heard");
+        }
+        return new Advice(Advice.Action.HAND_OVER, best.controller(), reason(own, best));
+    }
+
+    private static String reason(Suitability own, Suitability best) {
+        return best.controller() + " reaches " + percent(best.workerShare()) + " of the workers, " + own.controller()
+                + " " + percent(own.workerShare());
+    }
+
+    private static String percent(double share) {
+        return Math.round(100 * share) + "%";
+    }
+
+    /** Forgets who was better. */
+    void reset() {
+        candidate = "";
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/LinkEvidence.java
@@ -0,0 +1,13 @@
+package stileferry.connectivity;
+
+/**
+ * What a decision is checked against.
+ *
+ * @param leading whether this controller leads
+ * @param handingOver whether it is handing the leadership over
+ * @param storeAgeMs milliseconds since the state service last answered; -1: it never has
+ * @param manyWorkersSuspect whether half of all workers or more are suspect
+ * @param manySuspectMs for how long that has been so
+ */
+public record LinkEvidence(
+        boolean leading, boolean handingOver, long storeAgeMs, boolean manyWorkersSuspect, long manySuspectMs) {}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/ObservedLinks.java
@@ -0,0 +1,100 @@
+package stileferry.connectivity;
+
+import static stileferry.connectivity.InvalidInputException.requireTime;
+
+import stileferry.connectivity.ReachabilityView.Standing;
+
+/** All links of one controller as it has seen them, and the time up to which it has. */
+final class ObservedLinks {
+    /** Failed requests in a row after which the state service counts as lost, long before its silence says so. */
+    private static final int STORE_FAILURES = 2;
+
+    final ConnectivityConfig config;
+    final WorkerLinks workers;
+    final Peers peers;
+    final LinkObserver store;
+    private long now;
+    private long lateMs;
+    private boolean busy;
+    private boolean leading;
+    private long manySuspectSince = -1;
+
+    ObservedLinks(ConnectivityConfig config, long now) {
+        this.config = config;
+        this.now = now;
+        workers = new WorkerLinks(config);
+        peers = new Peers(config, now);
+        store = new LinkObserver(config.storeProbeMs(), now);
+    }
+
+    /** Takes in the time; one before the last counts as the last. */
+    void advance(long time) {
+        requireTime(time);
+        now = Math.max(now, time);
+    }
+
+    long now() {
+        return now;
+    }
+
+    /** By how much this process's own timers are late. */
+    long lateMs() {
+        return lateMs;
+    }
+
+    boolean busy() {
+        return busy;
+    }
+
+    boolean leading() {
+        return leading;
+    }
+
+    void lagging(long late, boolean behind) {
+        lateMs = late;
+        busy = behind;
+    }
+
+    /** This controller leads, or does not any more. */
+    void lead(boolean leads) {
+        leading = leads;
+        manySuspectSince = -1;
+        if (leads) {
+            workers.clear(); // what a follower saw may be gone by now, and nobody would say so
+        }
+    }
+
+    boolean storeGood() {
+        return store.condition(now, lateMs) == LinkCondition.GOOD && store.failuresInRow() < STORE_FAILURES;
+    }
+
+    Standing standing() {
+        return new Standing(storeGood(), busy, peers.heard(now, lateMs));
+    }
+
+    /** Notes what has fallen silent up to now. */
+    void sweep() {
+        workers.sweep(now, lateMs, leading);
+        boolean many = leading && 2 * workers.suspectCount() >= Math.max(2, workers.count());
+        manySuspectSince = !many ? -1 : manySuspectSince >= 0 ? manySuspectSince : now;
+    }
+
+    /** What decisions are checked against. */
+    LinkEvidence evidence(boolean handingOver) {
+        return new LinkEvidence(
+                leading,
+                handingOver,
+                store.confirmedAt() < 0 ? -1 : now - store.confirmedAt(),
+                manySuspectSince >= 0,
+                manySuspectSince < 0 ? 0 : now - manySuspectSince);
+    }
+
+    ConnectivitySnapshot.Link describe(LinkObserver link) {
+        return new ConnectivitySnapshot.Link(
+                link.condition(now, lateMs),
+                link.suspicion(now, lateMs),
+                link.confirmedAt() < 0 ? -1 : now - link.confirmedAt(),
+                link.failuresInRow(),
+                link.lastFailure());
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/Peers.java
@@ -0,0 +1,124 @@
+package stileferry.connectivity;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import stileferry.connectivity.ReachabilityView.Header;
+
+/** The links to the other controllers and what they said, with what they have seen of this one. */
+final class Peers {
+    private final ConnectivityConfig config;
+    private final Map<String, Peer> peers = new LinkedHashMap<>();
+
+    /** One other controller. */
+    static final class Peer {
+        final String name;
+        final PeerView view = new PeerView();
+        final LinkObserver inbound;
+        final LinkObserver outbound;
+
+        /** Whether anything was ever heard of it. */
+        boolean everHeard;
+
+        /** Up to which change it has what was said of workers, in which numbering. */
+        long confirmedChange;
+
+        int confirmedEpoch;
+
+        /** The handover that it last spoke of; null: none. */
+        ReachabilityView.HandoverNotice handover;
+
+        Peer(String name, ConnectivityConfig config, long now) {
+            this.name = name;
+            this.inbound = new LinkObserver(config.exchangeMs(false), now);
+            this.outbound = new LinkObserver(config.exchangeMs(false), now);
+        }
+
+        /** Notes what it says it has seen of this controller's words. */
+        void confirm(Header header, long ownIncarnation) {
+            boolean ours = header.seenIncarnation() == ownIncarnation;
+            confirmedChange = ours ? header.seenChange() : 0;
+            confirmedEpoch = ours ? header.seenEpoch() : 0;
+        }
+    }
+
+    Peers(ConnectivityConfig config, long now) {
+        this.config = config;
+        config.peers().forEach(name -> peers.put(name, new Peer(name, config, now)));
+    }
+
+    /** The controller with this name; throws for one that is not known. */
+    Peer get(String name) {
+        Peer peer = peers.get(name);
+        InvalidInputException.require(peer != null, "peer", "no such controller: " + name);
+        return peer;
+    }
+
+    Collection<Peer> all() {
+        return peers.values();
+    }
+
+    /** Whether a controller's view says something about now. */
+    boolean fresh(Peer peer, long now) {
+        return peer.view.standing() != null && peer.view.fresh(now, config.viewBoundMs());
+    }
+
+    /** The controllers that are heard now. */
+    List<String> heard(long now, long lateMs) {
+        List<String> names = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (peer.everHeard && heardLately(peer, now, lateMs)) {
+                names.add(peer.name);
+            }
+        }
+        return names;
+    }
+
+    private static boolean heardLately(Peer peer, long now, long lateMs) {
+        return peer.inbound.condition(now, lateMs) == LinkCondition.GOOD
+                || peer.outbound.condition(now, lateMs) == LinkCondition.GOOD;
+    }
+
+    /** Whether others were heard before and none is now. */
+    boolean lost(long now, long lateMs) {
+        return peers.values().stream().anyMatch(p -> p.everHeard)
+                && heard(now, lateMs).isEmpty();
+    }
+
+    /** Who leads in this term or a later one, as another controller lately said; empty: nobody did. */
+    String leaderSeen(long leastTerm, long now) {
+        String name = "";
+        long newest = leastTerm - 1;
+        for (Peer peer : peers.values()) {
+            String said = peer.view.leader();
+            boolean useful = fresh(peer, now) && !said.isEmpty() && !said.equals(config.self());
+            if (useful && peer.view.term() > newest) {
+                newest = peer.view.term();
+                name = said;
+            }
+        }
+        return name;
+    }
+
+    /** Whether a controller lately said that it reaches a worker. */
+    boolean anyReaches(String worker, long now) {
+        for (Peer peer : peers.values()) {
+            if (fresh(peer, now) && peer.view.reaches(worker)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether a controller that takes part has not said whether it reaches a worker. */
+    boolean anySaysNothing(String worker, long now) {
+        for (Peer peer : peers.values()) {
+            if (fresh(peer, now) && !peer.view.knows(worker)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/ProbePlanner.java
@@ -0,0 +1,114 @@
+package stileferry.connectivity;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import stileferry.connectivity.ReachabilityView.ProbeTarget;
+
+/**
+ * Chooses workers of which all controllers shall find out whether they reach them: some of those that are suspect, and,
+ * where these are many, some of the others. So the share of workers that a controller reaches is estimated from samples
+ * of bounded size, one of each group.
+ */
+final class ProbePlanner {
+    /** Workers of each group that are asked in one round. */
+    static final int SAMPLE = 8;
+
+    /** Workers that are asked now and then while nothing is suspect, so that followers know their links. */
+    private static final int IDLE_SAMPLE = 2;
+
+    /** Of all workers, the share from which on suspect ones are many. */
+    private static final double MANY = 1 / 8.0;
+
+    /** Rounds whose samples are looked at. */
+    private static final int ROUNDS = 4;
+
+    private final ConnectivityConfig config;
+    private final ArrayDeque<Round> rounds = new ArrayDeque<>();
+    private long plannedAt = -1;
+    private int lastSound = -1;
+
+    /** The workers of one round, by name. */
+    private record Round(List<WorkerLink> suspects, List<WorkerLink> sound) {}
+
+    ProbePlanner(ConnectivityConfig config) {
+        this.config = config;
+    }
+
+    /** Begins anew. */
+    void reset() {
+        rounds.clear();
+        plannedAt = -1;
+    }
+
+    /** Whether so many suspects are no matter of single workers. */
+    static boolean many(WorkerLinks links) {
+        return links.suspectCount() >= 2 && links.suspectCount() >= MANY * links.count();
+    }
+
+    /** Plans the next round if it is time; the workers to be asked in it. */
+    List<WorkerLink> plan(WorkerLinks links, long now) {
+        boolean suspects = links.suspectCount() > 0;
+        long every = suspects ? config.exchangeMs(true) : config.leaseMs() / 2;
+        if (plannedAt >= 0 && now - plannedAt < every) {
+            return List.of();
+        }
+        plannedAt = now;
+        List<WorkerLink> suspectSample = links.nextSuspects(SAMPLE);
+        int soundWanted = many(links) ? SAMPLE : suspects ? 0 : IDLE_SAMPLE;
+        List<WorkerLink> soundSample = new ArrayList<>(links.nextSound(lastSound, soundWanted));
+        if (soundSample.size() < soundWanted) {
+            soundSample.addAll(links.nextSound(-1, soundWanted - soundSample.size()));
+        }
+        if (!soundSample.isEmpty()) {
+            lastSound = soundSample.get(soundSample.size() - 1).index;
+        }
+        rounds.addLast(new Round(suspectSample, soundSample));
+        if (rounds.size() > ROUNDS) {
+            rounds.removeFirst();
+        }
+        Set<WorkerLink> all = new LinkedHashSet<>(suspectSample);
+        all.addAll(soundSample);
+        return List.copyOf(all);
+    }
+
+    /** The targets of the newest round. */
+    List<ProbeTarget> newest() {
+        if (rounds.isEmpty()) {
+            return List.of();
+        }
+        Round round = rounds.getLast();
+        Set<WorkerLink> all = new LinkedHashSet<>(round.suspects);
+        all.addAll(round.sound);
+        return targets(all);
+    }
+
+    static List<ProbeTarget> targets(Collection<WorkerLink> links) {
+        List<ProbeTarget> targets = new ArrayList<>();
+        for (WorkerLink link : links) {
+            if (!link.departed && !link.address.isEmpty()) {
+                targets.add(new ProbeTarget(link.name, link.address));
+            }
+        }
+        return targets;
+    }
+
+    /** Sampled workers that are suspect. */
+    Set<WorkerLink> sampledSuspects() {
+        Set<WorkerLink> sampled = new LinkedHashSet<>();
+        rounds.forEach(round -> sampled.addAll(round.suspects));
+        sampled.removeIf(link -> link.departed || link.suspectSince < 0);
+        return sampled;
+    }
+
+    /** Sampled workers that are not suspect. */
+    Set<WorkerLink> sampledSound() {
+        Set<WorkerLink> sampled = new LinkedHashSet<>();
+        rounds.forEach(round -> sampled.addAll(round.sound));
+        sampled.removeIf(link -> link.departed || link.suspectSince >= 0);
+        return sampled;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/ViewCodec.java
@@ -0,0 +1,173 @@
+package stileferry.connectivity;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.roaringbitmap.RoaringBitmap;
+import stileferry.connectivity.ReachabilityView.HandoverNotice;
+import stileferry.connectivity.ReachabilityView.Header;
+import stileferry.connectivity.ReachabilityView.ProbeTarget;
+import stileferry.connectivity.ReachabilityView.Standing;
+import stileferry.connectivity.ReachabilityView.WorkerChanges;
+
+/** Views as bytes. What follows the known fields is not looked at, so later versions may add to them. */
+public final class ViewCodec {
+    private static final byte FORM = 1;
+
+    private ViewCodec() {}
+
+    /** Writes a view. */
+    public static byte[] write(ReachabilityView view) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(FORM);
+            writeHeader(out, view.header());
+            writeStanding(out, view.standing());
+            writeWorkers(out, view.workers());
+            out.writeInt(view.probes().size());
+            for (ProbeTarget target : view.probes()) {
+                out.writeUTF(target.worker());
+                out.writeUTF(target.address());
+            }
+            writeHandover(out, view.handover());
+            out.writeLong(view.acceptedHandover());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Reads a view; throws {@link InvalidInputException} for what is none. */
+    public static ReachabilityView read(byte[] bytes) {
+        InvalidInputException.require(bytes != null, "view", "missing");
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            InvalidInputException.require(in.readByte() == FORM, "view", "not a form that is known");
+            Header header = readHeader(in);
+            Standing standing = readStanding(in);
+            WorkerChanges workers = readWorkers(in);
+            List<ProbeTarget> probes = new ArrayList<>();
+            for (int n = readCount(in); n > 0; n--) {
+                probes.add(new ProbeTarget(in.readUTF(), in.readUTF()));
+            }
+            return new ReachabilityView(header, standing, workers, probes, readHandover(in), in.readLong());
+        } catch (IOException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+            throw new InvalidInputException("view", "can't be read: " + e);
+        }
+    }
+
+    private static void writeHeader(DataOutputStream out, Header header) throws IOException {
+        out.writeUTF(header.sender());
+        out.writeLong(header.incarnation());
+        out.writeLong(header.sequence());
+        out.writeLong(header.term());
+        out.writeUTF(header.leader());
+        out.writeLong(header.seenIncarnation());
+        out.writeLong(header.seenSequence());
+        out.writeLong(header.seenChange());
+        out.writeInt(header.seenEpoch());
+    }
+
+    private static Header readHeader(DataInputStream in) throws IOException {
+        return new Header(
+                in.readUTF(),
+                in.readLong(),
+                in.readLong(),
+                in.readLong(),
+                in.readUTF(),
+                in.readLong(),
+                in.readLong(),
+                in.readLong(),
+                in.readInt());
+    }
+
+    private static void writeStanding(DataOutputStream out, Standing standing) throws IOException {
+        out.writeBoolean(standing.storeGood());
+        out.writeBoolean(standing.busy());
+        writeNames(out, standing.heard());
+    }
+
+    private static Standing readStanding(DataInputStream in) throws IOException {
+        return new Standing(in.readBoolean(), in.readBoolean(), readNames(in));
+    }
+
+    private static void writeWorkers(DataOutputStream out, WorkerChanges workers) throws IOException {
+        out.writeInt(workers.epoch());
+        out.writeLong(workers.base());
+        out.writeLong(workers.upTo());
+        writeNames(out, workers.names());
+        workers.changed().serialize(out);
+        workers.departed().serialize(out);
+        workers.examined().serialize(out);
+        workers.inbound().serialize(out);
+        workers.outbound().serialize(out);
+    }
+
+    private static WorkerChanges readWorkers(DataInputStream in) throws IOException {
+        return new WorkerChanges(
+                in.readInt(),
+                in.readLong(),
+                in.readLong(),
+                readNames(in),
+                readNumbers(in),
+                readNumbers(in),
+                readNumbers(in),
+                readNumbers(in),
+                readNumbers(in));
+    }
+
+    private static RoaringBitmap readNumbers(DataInputStream in) throws IOException {
+        RoaringBitmap numbers = new RoaringBitmap();
+        try {
+            numbers.deserialize(in);
+        } catch (RuntimeException e) {
+            throw new IOException("not a set of numbers", e);
+        }
+        return numbers;
+    }
+
+    private static void writeNames(DataOutputStream out, List<String> names) throws IOException {
+        out.writeInt(names.size());
+        for (String name : names) {
+            out.writeUTF(name);
+        }
+    }
+
+    private static List<String> readNames(DataInputStream in) throws IOException {
+        List<String> names = new ArrayList<>();
+        for (int n = readCount(in); n > 0; n--) {
+            names.add(in.readUTF());
+        }
+        return names;
+    }
+
+    /** A count of things that take two bytes each at least. */
+    private static int readCount(DataInputStream in) throws IOException {
+        int count = in.readInt();
+        if (count < 0 || count > in.available() / 2) {
+            throw new IOException("bad length " + count);
+        }
+        return count;
+    }
+
+    private static void writeHandover(DataOutputStream out, HandoverNotice notice) throws IOException {
+        out.writeBoolean(notice != null);
+        if (notice != null) {
+            out.writeLong(notice.number());
+            out.writeLong(notice.term());
+            out.writeUTF(notice.nominee());
+            out.writeLong(notice.nomineeIncarnation());
+            out.writeBoolean(notice.given());
+        }
+    }
+
+    private static HandoverNotice readHandover(DataInputStream in) throws IOException {
+        return in.readBoolean()
+                ? new HandoverNotice(in.readLong(), in.readLong(), in.readUTF(), in.readLong(), in.readBoolean())
+                : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/connectivity/ViewWriter.java
@@ -0,0 +1,79 @@
+package stileferry.connectivity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.roaringbitmap.RoaringBitmap;
+import stileferry.connectivity.ReachabilityView.HandoverNotice;
+import stileferry.connectivity.ReachabilityView.Header;
+import stileferry.connectivity.ReachabilityView.ProbeTarget;
+import stileferry.connectivity.ReachabilityView.Standing;
+import stileferry.connectivity.ReachabilityView.WorkerChanges;
+
+/** Writes views for other controllers: only what changed after the last change that the receiver has confirmed. */
+final class ViewWriter {
+    /** Workers in one view: a fleet that is new to the receiver takes several. */
+    static final int MOST_WORKERS = 256;
+
+    private final ConnectivityConfig config;
+    private final WorkerLinks workers;
+    private final ViewLog sent;
+
+    /** Who writes. */
+    record Self(long incarnation, long term, String leader) {}
+
+    ViewWriter(ConnectivityConfig config, WorkerLinks workers, ViewLog sent) {
+        this.config = config;
+        this.workers = workers;
+        this.sent = sent;
+    }
+
+    ReachabilityView write(
+            Peers.Peer to,
+            Self self,
+            Standing standing,
+            List<ProbeTarget> probes,
+            HandoverNotice notice,
+            long acceptedHandover,
+            long now) {
+        Header header = new Header(
+                config.self(),
+                self.incarnation(),
+                sent.next(now),
+                self.term(),
+                self.leader(),
+                to.view.incarnation(),
+                to.view.sequence(),
+                to.view.change(),
+                to.view.epoch());
+        return new ReachabilityView(header, standing, changes(to), probes, notice, acceptedHandover);
+    }
+
+    private WorkerChanges changes(Peers.Peer to) {
+        long base = to.confirmedEpoch == workers.epoch() ? to.confirmedChange : 0;
+        List<WorkerLink> changed = new ArrayList<>(workers.changedAfter(base, MOST_WORKERS));
+        long upTo = changed.isEmpty() ? base : changed.get(changed.size() - 1).change;
+        changed.sort(Comparator.comparingInt(link -> link.index));
+        List<String> names = new ArrayList<>(changed.size());
+        RoaringBitmap numbers = new RoaringBitmap();
+        RoaringBitmap departed = new RoaringBitmap();
+        RoaringBitmap examined = new RoaringBitmap();
+        RoaringBitmap inbound = new RoaringBitmap();
+        RoaringBitmap outbound = new RoaringBitmap();
+        for (WorkerLink link : changed) {
+            names.add(link.name);
+            numbers.add(link.index);
+            add(departed, link, link.departed);
+            add(examined, link, link.examined && !link.departed);
+            add(inbound, link, link.inbound && !link.departed);
+            add(outbound, link, link.outbound && !link.departed);
+        }
+        return new WorkerChanges(workers.epoch(), base, upTo, names, numbers, departed, examined, inbound, outbound);
+    }
+
+    private static void add(RoaringBitmap set, WorkerLink link, boolean holds) {
+        if (holds) {
+            set.add(link.index);
+        }
+    }
+}
--- a/src/main/java/stileferry/coordination/ClusterState.java
+++ b/src/main/java/stileferry/coordination/ClusterState.java
@@ -44,11 +44,17 @@
         }
     });
 
+    private final LinkAwareness links;
     private final Map<String, double[]> use = new HashMap<>();
     private final int[] claimsOf = new int[JobSpec.Priority.values().length];
 
     ClusterState(Settings settings) {
+        this(settings, LinkAwareness.NONE);
+    }
+
+    ClusterState(Settings settings, LinkAwareness links) {
         this.settings = settings;
+        this.links = links;
         for (Settings.Team team : settings.teams()) {
             use.put(team.name(), new double[3]);
         }
@@ -112,6 +118,7 @@
         }
         machines.remove(machine.name);
         deleted.add(machine.name);
+        links.gone(machine.name);
     }
 
     /** Takes in a machine's zone when it becomes known after claims on it were read. */
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -1,14 +1,14 @@
 package stileferry.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.cache.Cache;
-import com.google.common.cache.CacheBuilder;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stileferry.protocol.Environment;
+import stileferry.protocol.Features;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.MessageCodec;
 import stileferry.protocol.Messages;
@@ -29,7 +29,11 @@
     private static final long READY_GRACE_MS = 8000;
 
     private static final long TYPES_MS = 60_000;
-    private static final int WORKERS_REMEMBERED = 10_000;
+
+    /** A report waits this long at most for a new leader that is about to be known: half of its worker's patience. */
+    private static final long NEW_LEADER_MS = 2000;
+
+    private static final long NEW_LEADER_LOOK_MS = 50;
 
     private final Settings settings;
     private final Environment environment;
@@ -41,30 +45,32 @@
     private final long leaseMs;
     private final long startedAt;
     private final LeaderlessRenewal leaderlessRenewal;
+    private final LinkAwareness links;
     private final EventLoopLag eventLoopLag;
 
-    /** Workers that were sent to the leader: when, and to whom. */
-    private final Cache<String, Sent> sentAway = CacheBuilder.newBuilder()
-            .maximumSize(WORKERS_REMEMBERED)
-            .concurrencyLevel(1)
-            .build();
+    private final WorkerRedirects redirects;
 
     private List<MachineType> types = List.of();
     private Leader leader;
     private long leaderSeenAt = Long.MIN_VALUE / 2;
 
-    private record Sent(String leader, long at) {}
+    /** A coordinator for one controller, without optional parts. */
+    public Coordinator(Settings settings, Environment environment) {
+        this(settings, Features.NONE, environment);
+    }
 
     /** A coordinator for one controller. */
-    public Coordinator(Settings settings, Environment environment) {
+    public Coordinator(Settings settings, Features features, Environment plain) {
         this.settings = settings;
-        this.environment = environment;
+        this.links = features.partialCuts() ? new PartialCuts(settings, plain) : LinkAwareness.NONE;
+        this.environment = links.environment(plain);
         this.state = new StateClient(environment, settings);
-        this.leadership = new Leadership(environment, state, settings, this);
+        this.leadership = new Leadership(environment, state, settings, this, links);
         this.reportMs = Math.round(settings.workers().reportS() * 1000);
         this.leaseMs = Math.round(settings.workers().leaseS() * 1000);
         this.startedAt = environment.now();
         this.eventLoopLag = new EventLoopLag(environment, settings.workers().reportS());
+        this.redirects = new WorkerRedirects(settings, environment, links);
         this.leaderlessRenewal = new LeaderlessRenewal(environment, leadership, settings.peers());
     }
 
@@ -73,6 +79,7 @@
         eventLoopLag.start();
         leadership.start();
         askTypes();
+        links.start(new LinkHost());
     }
 
     private void askTypes() {
@@ -90,7 +97,9 @@
 
     @Override
     public void elected(long term, long leaderRevision) {
-        leader = new Leader(settings, environment, state, leadership, ended, types, term, leaderRevision, eventLoopLag);
+        leader = new Leader(
+                settings, environment, state, leadership, ended, types, term, leaderRevision, eventLoopLag, links);
+        links.elected(term, leader::changesInFlight);
     }
 
     @Override
@@ -98,6 +107,7 @@
         if (leader != null) {
             leader.close();
             leader = null;
+            links.deposed();
         }
     }
 
@@ -124,6 +134,11 @@
         return now - leaderSeenAt < READY_GRACE_MS;
     }
 
+    /** What is known of the links. */
+    LinkAwareness links() {
+        return links;
+    }
+
     /** Whether this node leads. */
     public boolean leads() {
         return leader != null;
@@ -150,7 +165,14 @@
 
     /** Takes an operator's request; the path is what follows the prefix, with its query. */
     public void admin(String method, String path, byte[] body, Consumer<PeerRecord.Answer> reply) {
-        if (path.equals("counters")) {
+        if (path.equals("links")) {
+            ObjectNode view = links.describe();
+            if (view == null) {
+                reply.accept(Users.refusal(404, "links: partial_cuts is off"));
+            } else {
+                Admin.view(method.equals("GET"), () -> view, reply);
+            }
+        } else if (path.equals("counters")) {
             Admin.view(
                     method.equals("GET"),
                     () -> counters.describe()
@@ -199,7 +221,8 @@
                 if (report == null) {
                     reply.accept(Users.refusal(400, "not a report"));
                 } else {
-                    answerReport(report, (status, answer) -> reply.accept(new PeerRecord.Answer(status, 0, answer)));
+                    answerReport(
+                            report, true, (status, answer) -> reply.accept(new PeerRecord.Answer(status, 0, answer)));
                 }
             }
         }
@@ -213,13 +236,29 @@
         if (report == null) {
             reply.accept(400, MessageCodec.encode(Messages.error("not a report")));
         } else if (leader != null) {
-            answerReport(report, reply);
+            answerReport(report, false, reply);
+        } else {
+            links.reported(report);
+            redirectOrWait(report, body, environment.now() + NEW_LEADER_MS, reply);
+        }
+    }
+
+    /**
+     * Found with cuts of links: a worker that came here while the leadership was being handed over was sent to the
+     * former leader, which it could not reach, and its lease lapsed meanwhile.
+     */
+    private void redirectOrWait(Report report, byte[] body, long until, BiConsumer<Integer, byte[]> reply) {
+        Settings.Peer peer = leadership.leaderPeer();
+        if (leader != null) {
+            answerReport(report, false, reply);
+        } else if (peer != null && links.leavesOffice(peer.node()) && environment.now() < until) {
+            environment.after(NEW_LEADER_LOOK_MS, () -> redirectOrWait(report, body, until, reply));
         } else {
             redirect(report, body, reply);
         }
     }
 
-    private void answerReport(Report report, BiConsumer<Integer, byte[]> reply) {
+    private void answerReport(Report report, boolean relayed, BiConsumer<Integer, byte[]> reply) {
         if (report.token() > leadership.term()) {
             leadership.learn(report.token(), "");
         }
@@ -227,6 +266,7 @@
             if (answer == null) {
                 reply.accept(503, MessageCodec.encode(Messages.error("not entitled to answer this report")));
             } else {
+                links.answered(report, relayed);
                 reply.accept(200, answer);
             }
         };
@@ -241,16 +281,17 @@
     private void redirect(Report report, byte[] body, BiConsumer<Integer, byte[]> reply) {
         Settings.Peer peer = leadership.leaderPeer();
         if (peer == null) {
-            withoutLeader(report, reply);
+            sendToHintedLeader(report, reply);
             return;
         }
-        long now = environment.now();
-        Sent sent = sentAway.getIfPresent(report.machine());
-        if (sent == null || !sent.leader.equals(peer.node()) || now - sent.at > 2 * leaseMs) {
-            sentAway.put(report.machine(), new Sent(peer.node(), now));
+        if (redirects.sendsAway(report.machine(), peer.node())) {
             reply.accept(421, MessageCodec.encode(Messages.reportTo(peer.node())));
-            return;
+        } else {
+            passOn(report, body, peer, reply);
         }
+    }
+
+    private void passOn(Report report, byte[] body, Settings.Peer peer, BiConsumer<Integer, byte[]> reply) {
         environment.peer(
                 peer,
                 new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
@@ -264,6 +305,16 @@
                 });
     }
 
+    /** This node can't tell who leads, as it reaches neither the state service nor the leader; others may. */
+    private void sendToHintedLeader(Report report, BiConsumer<Integer, byte[]> reply) {
+        String hinted = links.hintedLeader(leadership.term());
+        if (hinted.isEmpty()) {
+            withoutLeader(report, reply);
+        } else {
+            reply.accept(421, MessageCodec.encode(Messages.reportTo(hinted)));
+        }
+    }
+
     /** Nobody to send a worker to: for a short time that is no matter, later its lease has to be kept alive. */
     private void withoutLeader(Report report, BiConsumer<Integer, byte[]> reply) {
         if (leader == null && environment.now() - Math.max(startedAt, leadership.leaderHeardAt()) > leaseMs / 8) {
@@ -278,6 +329,9 @@
     /** Takes a record from another controller. */
     public void peer(PeerRecord record, Consumer<PeerRecord> reply) {
         if (record instanceof PeerRecord.Term t) {
+            if (t.leading()) {
+                links.learn(t.leader(), t);
+            }
             reply.accept(leadership.hear(t));
         } else if (record instanceof PeerRecord.Forward f) {
             if (leader == null) {
@@ -285,9 +339,55 @@
             } else {
                 lead(f.ask(), f.id(), f.body(), reply::accept);
             }
+        } else if (record instanceof PeerRecord.Links l) {
+            PeerRecord answer = links.exchange(l);
+            reply.accept(answer == null ? Users.unavailable() : answer);
         } else {
             LOG.debug("a record that nobody asked for: {}", record);
             reply.accept(Users.unavailable());
         }
     }
+
+    /** What the watching of links calls. */
+    private final class LinkHost implements LinkAwareness.Host {
+        @Override
+        public boolean leading() {
+            return leadership.leading();
+        }
+
+        @Override
+        public long term() {
+            return leadership.term();
+        }
+
+        @Override
+        public String leader() {
+            return leadership.leader();
+        }
+
+        @Override
+        public void learn(long term, String name) {
+            leadership.learn(term, name);
+        }
+
+        @Override
+        public void askStore() {
+            state.get(Leadership.TERM_KEY, (status, body) -> {});
+        }
+
+        @Override
+        public void release() {
+            leadership.resign();
+        }
+
+        @Override
+        public long lateMs() {
+            return eventLoopLag.lateMs();
+        }
+
+        @Override
+        public boolean behind() {
+            return eventLoopLag.behind();
+        }
+    }
 }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -30,6 +30,7 @@
     private final Settings settings;
     private final Environment environment;
     private final Leadership leadership;
+    private final LinkAwareness links;
     private final long term;
     private final Ledger ledger;
     private final ClusterState cluster;
@@ -65,13 +66,15 @@
             List<MachineType> types,
             long term,
             long leaderRevision,
-            EventLoopLag eventLoopLag) {
+            EventLoopLag eventLoopLag,
+            LinkAwareness links) {
+        this.links = links;
         this.settings = settings;
         this.environment = environment;
         this.leadership = leadership;
         this.term = term;
         this.ledger = new Ledger(environment, state, Leadership.LEADER_KEY, leaderRevision, term, leadership::resign);
-        this.cluster = new ClusterState(settings);
+        this.cluster = new ClusterState(settings, links);
         this.cluster.types = types;
         this.silences = new SilenceRecords(cluster, environment, ledger, leadership, term);
         TermNumbers numbers = new TermNumbers(term);
@@ -87,7 +90,7 @@
         this.fleet = tasks.fleet();
         this.placement = new Placement(cluster);
         this.preemption = new Preemption(cluster, placement);
-        this.provisioning = new Provisioning(cluster, environment, fleet, term);
+        this.provisioning = new Provisioning(cluster, environment, fleet, term, links);
         this.consolidation = new Consolidation(cluster, placement, environment.now(), claim -> tasks.stop(claim, 0));
         this.roundMs = settings.workers().reportRoundMs();
         this.loader = new StateLoader(environment, state, cluster, ledger, forLoader());
@@ -101,6 +104,11 @@
                 return Leader.this.serving();
             }
 
+            @Override
+            public boolean promising() {
+                return Leader.this.serving() && links.permitsPromising();
+            }
+
             @Override
             public long number() {
                 return numbers.next();
@@ -178,6 +186,7 @@
                 .forEach(job -> tasks.finishGang(job, null));
         cluster.jobs.values().forEach(tasks::stopBrokenAttempt);
         silences.takeOver(loaded.silences());
+        cluster.machines.values().forEach(machine -> links.expected(machine.name, machine.addr));
         active = true;
         activeAt = environment.now();
         LOG.info("term {}: {} live jobs, {} tasks may be on machines", term, cluster.jobs.size(), loaded.claims());
@@ -252,11 +261,13 @@
 
     private void passOnce(boolean regular) {
         if (cluster.types.isEmpty()
+                || !links.permitsStarting()
                 || ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
             return;
         }
         long now = environment.now();
-        boolean preempts = settled() && cluster.options.flag(Options.PREEMPTION);
+        boolean rearranges = settled() && links.permitsPreempting();
+        boolean preempts = rearranges && cluster.options.flag(Options.PREEMPTION);
         List<Job> waiting = placement.pass(now, environment.timeOfDay(), preempts, this::start);
         cluster.reservations.clear();
         if (preempts) {
@@ -264,11 +275,11 @@
         }
         waiting.removeIf(job -> placement.keptBack(job, now)); // nothing is rented for it, and it is no lack of room
         if (settled() && !waiting.isEmpty()) {
-            if (regular) {
+            if (regular && links.permitsRenting()) {
                 provisioning.rent(waiting);
             }
         }
-        if (regular && settled()) {
+        if (regular && rearranges) {
             consolidation.step(waiting, now);
         }
     }
@@ -302,6 +313,11 @@
         }
     }
 
+    /** Transactions that were sent and have no known outcome. */
+    int changesInFlight() {
+        return ledger.inFlight();
+    }
+
     /** The last that was heard from a machine; null: nothing. */
     Report lastReport(String name) {
         Machine m = cluster.machines.get(name);
@@ -313,7 +329,7 @@
         if (closed) {
             return;
         }
-        if (leadership.sure()) {
+        if (leadership.sure() && !links.handingOver()) {
             ledger.flush();
         }
         fleet.commands().send();
--- a/src/main/java/stileferry/coordination/Leadership.java
+++ b/src/main/java/stileferry/coordination/Leadership.java
@@ -39,11 +39,13 @@
 
     private static final long WATCH_MS = 10_000;
     private static final long ANNOUNCE_MS = 1000;
+    private static final long ABSTAINING_LOOK_MS = 200;
 
     private final Environment environment;
     private final StateClient state;
     private final Settings settings;
     private final Listener listener;
+    private final LinkAwareness links;
     private final long lifeMs;
     private final long renewMs;
     private final long[] ackedAt;
@@ -73,11 +75,12 @@
         void options(JsonNode stored);
     }
 
-    Leadership(Environment environment, StateClient state, Settings settings, Listener listener) {
+    Leadership(Environment environment, StateClient state, Settings settings, Listener listener, LinkAwareness links) {
         this.environment = environment;
         this.state = state;
         this.settings = settings;
         this.listener = listener;
+        this.links = links;
         this.lifeMs = lifeMs(settings);
         this.renewMs = renewMs(settings);
         this.ackedAt = new long[settings.peers().size()];
@@ -187,7 +190,7 @@
         if (!heard.leading() && !leading) {
             consent(); // who does not lead asks only for that
         }
-        return new PeerRecord.Term(term, leader(), leading, cancellations.answer(heard));
+        return new PeerRecord.Term(term, leader(), leading, cancellations.answer(heard)).with(links.aware());
     }
 
     /** Takes in that another controller may answer reports without a leader that were sent until now. */
@@ -202,7 +205,7 @@
 
     /** What this controller tells another one. */
     PeerRecord.Term words(int peer) {
-        return new PeerRecord.Term(term, leader(), leading, cancellations.words(peer, sure()));
+        return new PeerRecord.Term(term, leader(), leading, cancellations.words(peer, sure())).with(links.aware());
     }
 
     /** Takes another controller's words. Only a leader speaks for itself: whom others believe in may be long gone. */
@@ -281,7 +284,7 @@
             }
             if (holder == null) {
                 learn(storedTerm, "");
-                run(forRound, storedTerm, termRevision);
+                runOrAbstain(forRound, storedTerm, termRevision);
             } else if (holder.path("node").asText().equals(settings.node())) {
                 // left by this node's former life, or by an attempt that was given up: nobody uses it
                 state.end(holder.path("lease").asText(), (s, b) -> later(60, forRound, () -> look(forRound)));
@@ -292,6 +295,16 @@
         });
     }
 
+    /** Leaves a free leadership to others for a while if their links are better, or this node has just released it. */
+    private void runOrAbstain(int forRound, long storedTerm, long termRevision) {
+        long abstainMs = links.abstainMs();
+        if (abstainMs > 0) {
+            later(Math.min(abstainMs, ABSTAINING_LOOK_MS), forRound, () -> look(forRound));
+        } else {
+            run(forRound, storedTerm, termRevision);
+        }
+    }
+
     private void watch(int forRound, long revision) {
         state.watch(PREFIX, revision, WATCH_MS, (status, body) -> {
             if (round != forRound || leading) {
@@ -433,6 +446,7 @@
         environment.peer(settings.peers().get(peer), words, ANNOUNCE_MS, record -> {
             telling[peer] = false;
             if (record instanceof PeerRecord.Term answer) {
+                links.learn(settings.peers().get(peer).node(), answer);
                 if (leading && term == told) {
                     if (answer.term() == told && ackedAt[peer] < 0) {
                         ackedAt[peer] = environment.now();
--- /dev/null
+++ b/src/main/java/stileferry/coordination/LinkAwareness.java
@@ -0,0 +1,159 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.function.IntSupplier;
+import stileferry.protocol.Environment;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Report;
+
+/**
+ * What a controller does differently where it watches its links. Without that, as {@link #NONE} says, it sees nothing
+ * and permits everything.
+ */
+interface LinkAwareness {
+    /** Links are not watched. */
+    LinkAwareness NONE = new LinkAwareness() {};
+
+    /** What the controller calls from the inside, once all of it has been made. */
+    interface Host {
+        /** Whether this node leads, in which term. */
+        boolean leading();
+
+        /** The highest term that is known. */
+        long term();
+
+        /** Who leads in it; empty: not known. */
+        String leader();
+
+        /** Takes in a term that another controller knows, and its name if it leads in it itself. */
+        void learn(long term, String leader);
+
+        /** Reads something small from the state service. */
+        void askStore();
+
+        /** Releases the leadership. */
+        void release();
+
+        /** By how many milliseconds timers are late. */
+        long lateMs();
+
+        /** Whether this process is behind with its work. */
+        boolean behind();
+    }
+
+    /** Whether links are watched. */
+    default boolean watches() {
+        return false;
+    }
+
+    /** The environment through which the rest of the controller has to see the world. */
+    default Environment environment(Environment plain) {
+        return plain;
+    }
+
+    /** Begins to watch. */
+    default void start(Host host) {}
+
+    // ---- what the controller sees
+
+    /** A follower got a report straight from its worker. */
+    default void reported(Report report) {}
+
+    /** The leader took a report in and answered it; {@code relayed}: it came by way of another controller. */
+    default void answered(Report report, boolean relayed) {}
+
+    /** The leader knows that a worker should be there. */
+    default void expected(String machine, String addr) {}
+
+    /** The leader knows that a worker is gone. */
+    default void gone(String machine) {}
+
+    /** This node leads from now on; {@code changesInFlight}: transactions without a known outcome. */
+    default void elected(long term, IntSupplier changesInFlight) {}
+
+    /** This node no longer leads. */
+    default void deposed() {}
+
+    // ---- what the controllers tell each other
+
+    /** The controllers that are known to exchange views of their links, this one first; empty: it does not. */
+    default List<String> aware() {
+        return List.of();
+    }
+
+    /** Takes in what another controller, of which the name is known, said with its term. */
+    default void learn(String controller, PeerRecord.Term term) {}
+
+    /** Takes in a view and returns the answer; null: views are not exchanged. */
+    default PeerRecord exchange(PeerRecord.Links links) {
+        return null;
+    }
+
+    // ---- what it may do
+
+    /** Whether the leader says that it has heard a worker in its term: if it comes here, it could not report there. */
+    default boolean heardByLeader(String leader, String machine) {
+        return false;
+    }
+
+    /** Whether the leader says that its requests do not reach a worker. */
+    default boolean missedByLeader(String leader, String machine) {
+        return false;
+    }
+
+    /** Who leads in this term or a later one, as others say; empty: nobody says. A hint, as they may be wrong. */
+    default String hintedLeader(long term) {
+        return "";
+    }
+
+    /** Whether a leader is handing over or just has, so that the next one will be known at once. */
+    default boolean leavesOffice(String leader) {
+        return false;
+    }
+
+    /** For how long a free leadership is left to others, in milliseconds. */
+    default long abstainMs() {
+        return 0;
+    }
+
+    /** Whether the leader is about to hand over, so that nothing new is written. */
+    default boolean handingOver() {
+        return false;
+    }
+
+    /** Whether tasks may be started. */
+    default boolean permitsStarting() {
+        return true;
+    }
+
+    /** Whether work may be stopped to make room. */
+    default boolean permitsPreempting() {
+        return true;
+    }
+
+    /** Whether machines may be rented. */
+    default boolean permitsRenting() {
+        return true;
+    }
+
+    /** Whether machines that are not needed may be returned. */
+    default boolean permitsReturning() {
+        return true;
+    }
+
+    /** Whether a silent machine may be given up. */
+    default boolean permitsGivingUp(String machine) {
+        return true;
+    }
+
+    /** Whether users' jobs may be accepted and cancelled. */
+    default boolean permitsPromising() {
+        return true;
+    }
+
+    /** All that is known of the links; null: they are not watched. */
+    default ObjectNode describe() {
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/LinkObservingEnvironment.java
@@ -0,0 +1,69 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import stileferry.protocol.Environment;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+
+/** The outside with an eye on the outcome of every request, so that links are judged by the real traffic. */
+final class LinkObservingEnvironment implements Environment {
+    private final Environment plain;
+    private final Observer observer;
+
+    /** Told of outcomes. */
+    interface Observer {
+        /** A request to an address had this outcome: an HTTP status, or one of {@link Environment}'s. */
+        void requested(String addr, int status);
+
+        /** A record was sent to another controller, and was answered or not. */
+        void exchanged(String controller, boolean answered);
+    }
+
+    LinkObservingEnvironment(Environment plain, Observer observer) {
+        this.plain = plain;
+        this.observer = observer;
+    }
+
+    @Override
+    public long now() {
+        return plain.now();
+    }
+
+    @Override
+    public long timeOfDay() {
+        return plain.timeOfDay();
+    }
+
+    @Override
+    public RandomGenerator random() {
+        return plain.random();
+    }
+
+    @Override
+    public void logLevel(String level) {
+        plain.logLevel(level);
+    }
+
+    @Override
+    public void after(long delayMs, Runnable task) {
+        plain.after(delayMs, task);
+    }
+
+    @Override
+    public void call(String addr, String method, String path, JsonNode body, long timeoutMs, Reply reply) {
+        plain.call(addr, method, path, body, timeoutMs, (status, answer) -> {
+            observer.requested(addr, status);
+            reply.done(status, answer);
+        });
+    }
+
+    @Override
+    public void peer(Settings.Peer peer, PeerRecord record, long timeoutMs, Consumer<PeerRecord> reply) {
+        plain.peer(peer, record, timeoutMs, answer -> {
+            observer.exchanged(peer.node(), answer != null);
+            reply.accept(answer);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/LinkViews.java
@@ -0,0 +1,62 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+import java.util.Locale;
+import stileferry.connectivity.ConnectivitySnapshot;
+import stileferry.protocol.MessageCodec;
+
+/** The administration API's view of one controller's links. */
+final class LinkViews {
+    private LinkViews() {}
+
+    static ObjectNode describe(ConnectivitySnapshot snapshot, Collection<String> aware) {
+        ObjectNode view = MessageCodec.map()
+                .put("node", snapshot.controller())
+                .put("leads", snapshot.leading())
+                .put("advice", lower(snapshot.advice().action()))
+                .put("reason", snapshot.advice().reason());
+        view.set("store", link(snapshot.store()));
+        ArrayNode peers = view.putArray("controllers");
+        for (ConnectivitySnapshot.Peer peer : snapshot.peers()) {
+            ObjectNode entry = peers.addObject()
+                    .put("name", peer.controller())
+                    .put("exchanges_views", aware.contains(peer.controller()))
+                    .put("view_age_ms", peer.viewAgeMs())
+                    .put("workers_reached", peer.reached())
+                    .put("worker_share", peer.workerShare());
+            entry.set("from", link(peer.inbound()));
+            entry.set("to", link(peer.outbound()));
+        }
+        ConnectivitySnapshot.Workers workers = snapshot.workers();
+        view.putObject("workers")
+                .put("known", workers.known())
+                .put("direct", workers.direct())
+                .put("suspect", workers.suspect())
+                .put("share", workers.share())
+                .put("silence_bound_ms", Math.round(workers.silenceBoundMs()));
+        ConnectivitySnapshot.Counters counters = snapshot.counters();
+        view.putObject("counters")
+                .put("handovers_begun", counters.handoversBegun())
+                .put("released", counters.released())
+                .put("handovers_given_up", counters.givenUp())
+                .put("suspicions", counters.suspicions())
+                .put("withheld", counters.withheld())
+                .put("stale_views", counters.staleViews());
+        return view;
+    }
+
+    private static ObjectNode link(ConnectivitySnapshot.Link link) {
+        ObjectNode entry = MessageCodec.map()
+                .put("condition", lower(link.condition()))
+                .put("suspicion", Math.round(10 * Math.min(1000, link.suspicion())) / 10.0)
+                .put("silent_ms", link.silentMs())
+                .put("failures_in_row", link.failuresInRow());
+        return link.lastFailure() == null ? entry : entry.put("last_failure", lower(link.lastFailure()));
+    }
+
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/stileferry/coordination/MachineReturns.java
+++ b/src/main/java/stileferry/coordination/MachineReturns.java
@@ -34,13 +34,21 @@
     private final Fleet fleet;
     private final CloudClient cloud;
     private final MachineList list;
+    private final LinkAwareness links;
     private final long since;
     private final long listLagMs;
     private final long leaseMs;
     private final long cancelPatienceMs;
     private boolean deleting;
 
-    MachineReturns(ClusterState cluster, Environment environment, Fleet fleet, CloudClient cloud, MachineList list) {
+    MachineReturns(
+            ClusterState cluster,
+            Environment environment,
+            Fleet fleet,
+            CloudClient cloud,
+            MachineList list,
+            LinkAwareness links) {
+        this.links = links;
         this.cluster = cluster;
         this.environment = environment;
         this.fleet = fleet;
@@ -56,15 +64,16 @@
     /** Marks what shall be deleted, and deletes it. */
     void returnMachines(boolean settled) {
         double spare = settled ? spareCpus() : 0;
+        boolean mayReturnIdle = settled && links.permitsReturning();
         Set<Machine> lost = settled ? new HashSet<>(fleet.failures().lost(since)) : Set.of();
         for (Machine m : cluster.machines.values()) {
             if (m.deleting) {
                 continue;
             }
             String why = whyLost(m, settled, lost);
-            if (why == null && settled && shallNotBeUsed(m)) {
+            if (why == null && mayReturnIdle && shallNotBeUsed(m)) {
                 why = "it is empty and shall not be used";
-            } else if (why == null && settled && idle(m) && (m.spot || spare >= m.type.cpus())) {
+            } else if (why == null && mayReturnIdle && idle(m) && (m.spot || spare >= m.type.cpus())) {
                 why = "it is idle";
                 spare -= m.spot ? 0 : m.type.cpus();
             }
@@ -96,15 +105,18 @@
         if (settled && unknown && quiet > 2 * listLagMs + leaseMs) {
             return "nobody knows it";
         }
-        if (lost.contains(m)) {
+        if (lost.contains(m) && links.permitsGivingUp(m.name)) {
             // the deletion proves sooner than the lease that its tasks are gone
             return m.spot ? "it was taken without a word" : "it is silent, though its zone is not";
         }
         boolean lapsed = m.lapsedSession >= m.session && m.claims.isEmpty() && !m.booting;
-        if (lapsed && Math.min(quiet, now - m.heardAt) > SILENT_LEASES * leaseMs) {
+        if (lapsed && Math.min(quiet, now - m.heardAt) > SILENT_LEASES * leaseMs && links.permitsGivingUp(m.name)) {
             return "it is silent";
         }
-        if (settled && m.unreachedSince != 0 && now - m.unreachedSince > SILENT_LEASES * leaseMs) {
+        if (settled
+                && m.unreachedSince != 0
+                && now - m.unreachedSince > SILENT_LEASES * leaseMs
+                && links.permitsGivingUp(m.name)) {
             return "it reports, but nothing that it is told reaches it";
         }
         return null;
--- /dev/null
+++ b/src/main/java/stileferry/coordination/PartialCuts.java
@@ -0,0 +1,324 @@
+package stileferry.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.BiMap;
+import com.google.common.collect.HashBiMap;
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.connectivity.Advice;
+import stileferry.connectivity.Connectivity;
+import stileferry.connectivity.ConnectivityConfig;
+import stileferry.connectivity.Decision;
+import stileferry.connectivity.FailureKind;
+import stileferry.connectivity.HandoverAction;
+import stileferry.connectivity.ReachabilityView;
+import stileferry.connectivity.WorkerReport;
+import stileferry.protocol.Environment;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Report;
+import stileferry.protocol.Settings;
+
+/**
+ * Lets {@link Connectivity} watch the links of one controller: hands it what happens, carries its views and probes, and
+ * does what it advises. It starts nothing and proves nothing; it only releases the leadership or leaves it to others.
+ */
+final class PartialCuts implements LinkAwareness, LinkObservingEnvironment.Observer {
+    private static final Logger LOG = LoggerFactory.getLogger("links");
+
+    private static final long LEAST_PATIENCE_MS = 500;
+
+    /** While a handover is under way it is looked at this often. */
+    private static final long HANDOVER_STEP_MS = 50;
+
+    private final Settings settings;
+    private final Environment environment;
+    private final Connectivity connectivity;
+    private final ViewExchange exchange;
+    private final Prober prober;
+    private final long tickMs;
+    private final long storeProbeMs;
+
+    /** Workers by the addresses that requests reach them at. */
+    private final BiMap<String, String> workerAt = HashBiMap.create();
+
+    private Host host;
+    private IntSupplier changesInFlight = () -> 0;
+    private long term;
+    private boolean releasing;
+    private long storeSeenAt = Long.MIN_VALUE / 2;
+    private Advice lastAdvice;
+
+    PartialCuts(Settings settings, Environment environment) {
+        this.settings = settings;
+        this.environment = environment;
+        Settings.Workers workers = settings.workers();
+        ConnectivityConfig config = new ConnectivityConfig(
+                settings.node(),
+                settings.peers().stream().map(Settings.Peer::node).toList(),
+                Math.round(workers.reportS() * 1000),
+                Math.round(workers.leaseS() * 1000),
+                Leadership.lifeMs(settings));
+        this.connectivity = new Connectivity(config, Math.max(1, environment.timeOfDay()), environment.now());
+        this.tickMs = config.exchangeMs(true);
+        long patienceMs = Math.max(LEAST_PATIENCE_MS, tickMs);
+        this.storeProbeMs = config.storeProbeMs();
+        this.exchange = new ViewExchange(settings, environment(environment), connectivity, patienceMs, this::taken);
+        this.prober = new Prober(settings, environment, connectivity, patienceMs);
+    }
+
+    @Override
+    public boolean watches() {
+        return true;
+    }
+
+    @Override
+    public Environment environment(Environment plain) {
+        return new LinkObservingEnvironment(plain, this);
+    }
+
+    @Override
+    public void start(Host controller) {
+        host = controller;
+        tick();
+    }
+
+    private void tick() {
+        environment.after(tickMs, this::tick);
+        long now = environment.now();
+        connectivity.leaderKnown(host.term(), host.leader(), now);
+        connectivity.lagging(host.lateMs(), host.behind(), now);
+        if (now - storeSeenAt >= storeProbeMs) {
+            host.askStore(); // a link that nothing else uses
+        }
+        exchange.ifDue();
+        prober.send();
+        follow(connectivity.advise(now));
+    }
+
+    // ---- leading
+
+    @Override
+    public void elected(long wonTerm, IntSupplier inFlight) {
+        term = wonTerm;
+        changesInFlight = inFlight;
+        releasing = false;
+        workerAt.clear();
+        connectivity.leads(wonTerm, environment.now());
+    }
+
+    @Override
+    public void deposed() {
+        connectivity.follows(!releasing, environment.now());
+        releasing = false;
+    }
+
+    private void follow(Advice advice) {
+        if (lastAdvice == null || lastAdvice.action() != advice.action()) {
+            LOG.info("{}: {}", advice.action(), advice.reason());
+        }
+        lastAdvice = advice;
+        if (!host.leading()) {
+            return;
+        }
+        if (advice.action() == Advice.Action.STEP_DOWN) {
+            release("nobody");
+        } else if (advice.action() == Advice.Action.HAND_OVER
+                && connectivity.beginHandover(advice.nominee(), environment.now())) {
+            LOG.info("handing term {} over to {}", term, advice.nominee());
+            exchange.withAll();
+            continueHandover(advice.nominee());
+        }
+    }
+
+    private void continueHandover(String nominee) {
+        HandoverAction action = connectivity.nextInHandover(changesInFlight.getAsInt(), environment.now());
+        switch (action) {
+            case WAIT -> environment.after(HANDOVER_STEP_MS, () -> continueHandover(nominee));
+            case RELEASE -> release(nominee);
+            case GIVEN_UP -> {
+                LOG.info("the handover to {} was given up, still leading in term {}", nominee, term);
+                exchange.withAll();
+            }
+            default -> {}
+        }
+    }
+
+    private void release(String nominee) {
+        if (host.leading()) {
+            LOG.info("releasing term {} to {}", term, nominee);
+            releasing = true;
+            host.release();
+            connectivity.released(environment.now());
+        }
+    }
+
+    // ---- what is seen
+
+    private static WorkerReport seen(Report r, boolean showsTerm) {
+        return new WorkerReport(r.machine(), r.addr(), Math.max(0, r.session()), Math.max(0, r.seq()), showsTerm);
+    }
+
+    @Override
+    public void reported(Report report) {
+        if (!report.machine().isEmpty()) {
+            connectivity.workerReported(seen(report, false), environment.now());
+        }
+    }
+
+    @Override
+    public void answered(Report report, boolean relayed) {
+        if (report.machine().isEmpty()) {
+            return;
+        }
+        long now = environment.now();
+        workerAt.forcePut(report.addr(), report.machine());
+        if (relayed) {
+            connectivity.workerRelayed(seen(report, report.token() >= term), now);
+        } else {
+            connectivity.workerReported(seen(report, report.token() >= term), now);
+            connectivity.workerAnswered(report.machine(), now);
+        }
+    }
+
+    @Override
+    public void expected(String machine, String addr) {
+        if (!addr.isEmpty()) {
+            workerAt.forcePut(addr, machine);
+        }
+        connectivity.workerExpected(machine, addr, environment.now());
+    }
+
+    @Override
+    public void gone(String machine) {
+        connectivity.workerGone(machine, environment.now());
+        workerAt.inverse().remove(machine);
+    }
+
+    @Override
+    public void requested(String addr, int status) {
+        long now = environment.now();
+        boolean answered = status > 0;
+        FailureKind kind = status == Environment.NO_ANSWER ? FailureKind.UNANSWERED : FailureKind.REFUSED;
+        if (addr.equals(settings.stateAddr())) {
+            if (answered && status != 503) {
+                storeSeenAt = now;
+                connectivity.storeAnswered(now);
+            } else {
+                connectivity.storeFailed(kind, now);
+            }
+            return;
+        }
+        String worker = workerAt.get(addr);
+        if (worker != null && host != null && host.leading()) {
+            if (answered) {
+                connectivity.workerReached(worker, false, now);
+            } else {
+                connectivity.workerMissed(worker, false, now);
+            }
+        }
+    }
+
+    @Override
+    public void exchanged(String controller, boolean answered) {
+        if (answered) {
+            connectivity.peerAnswered(controller, environment.now());
+        } else {
+            connectivity.peerFailed(controller, FailureKind.UNANSWERED, environment.now());
+        }
+    }
+
+    // ---- views
+
+    @Override
+    public List<String> aware() {
+        return exchange.aware();
+    }
+
+    @Override
+    public void learn(String controller, PeerRecord.Term said) {
+        exchange.learn(controller, said);
+    }
+
+    @Override
+    public PeerRecord exchange(PeerRecord.Links links) {
+        return exchange.answer(links);
+    }
+
+    private void taken(ReachabilityView.Header header) {
+        host.learn(header.term(), header.leading() ? header.sender() : "");
+        connectivity.leaderKnown(host.term(), host.leader(), environment.now());
+    }
+
+    // ---- what may be done
+
+    private boolean permits(Decision decision) {
+        return connectivity.permits(decision, environment.now()).allowed();
+    }
+
+    @Override
+    public boolean heardByLeader(String leader, String machine) {
+        return connectivity.knownBy(leader, machine, environment.now());
+    }
+
+    @Override
+    public boolean missedByLeader(String leader, String machine) {
+        return connectivity.missedBy(leader, machine, environment.now());
+    }
+
+    @Override
+    public String hintedLeader(long leastTerm) {
+        return connectivity.leaderSeenByOthers(leastTerm, environment.now());
+    }
+
+    @Override
+    public boolean leavesOffice(String leader) {
+        return connectivity.handsOver(leader, environment.now());
+    }
+
+    @Override
+    public long abstainMs() {
+        return connectivity.abstainMs(environment.now());
+    }
+
+    @Override
+    public boolean handingOver() {
+        return connectivity.handingOver();
+    }
+
+    @Override
+    public boolean permitsStarting() {
+        return permits(Decision.START);
+    }
+
+    @Override
+    public boolean permitsPreempting() {
+        return permits(Decision.PREEMPT);
+    }
+
+    @Override
+    public boolean permitsRenting() {
+        return permits(Decision.RENT);
+    }
+
+    @Override
+    public boolean permitsReturning() {
+        return permits(Decision.RETURN_WORKER);
+    }
+
+    @Override
+    public boolean permitsGivingUp(String machine) {
+        return connectivity.permitsGivingUp(machine, environment.now()).allowed();
+    }
+
+    @Override
+    public boolean permitsPromising() {
+        return permits(Decision.ACCEPT) && permits(Decision.CONFIRM_CANCELLATION);
+    }
+
+    @Override
+    public ObjectNode describe() {
+        return LinkViews.describe(connectivity.snapshot(environment.now()), exchange.aware());
+    }
+}
--- /dev/null
+++ b/src/main/java/stileferry/coordination/Prober.java
@@ -0,0 +1,49 @@
+package stileferry.coordination;
+
+import java.util.HashSet;
+import java.util.Set;
+import stileferry.connectivity.Connectivity;
+import stileferry.connectivity.ReachabilityView.ProbeTarget;
+import stileferry.protocol.Environment;
+import stileferry.protocol.Report;
+import stileferry.protocol.Settings;
+
+/** Asks workers whether requests reach them, a bounded number at a time. */
+final class Prober {
+    /** Of the sockets for commands to workers, the part that probes may take. */
+    private static final int SOCKET_SHARE = 4;
+
+    private final Environment environment;
+    private final Connectivity connectivity;
+    private final long patienceMs;
+    private final int mostInFlight;
+    private final Set<String> inFlight = new HashSet<>();
+
+    Prober(Settings settings, Environment environment, Connectivity connectivity, long patienceMs) {
+        this.environment = environment;
+        this.connectivity = connectivity;
+        this.patienceMs = patienceMs;
+        this.mostInFlight = Math.max(1, settings.sockets().commands() / SOCKET_SHARE);
+    }
+
+    /** Sends the questions that are due. */
+    void send() {
+        for (ProbeTarget target : connectivity.nextProbes(mostInFlight - inFlight.size(), environment.now())) {
+            if (inFlight.add(target.worker())) {
+                ask(target);
+            }
+        }
+    }
+
+    private void ask(ProbeTarget target) {
+        environment.call(target.address(), "GET", "/inspect", null, patienceMs, (status, body) -> {
+            inFlight.remove(target.worker());
+            Report report = status == 200 ? Report.read(body) : null;
+            if (report != null && report.machine().equals(target.worker())) {
+                connectivity.workerReached(target.worker(), true, environment.now());
+            } else {
+                connectivity.workerMissed(target.worker(), true, environment.now()); // or another has its address now
+            }
+        });
+    }
+}
--- a/src/main/java/stileferry/coordination/Provisioning.java
+++ b/src/main/java/stileferry/coordination/Provisioning.java
@@ -11,12 +11,12 @@
     private final MachineReturns returns;
     private final Rentals rentals;
 
-    Provisioning(ClusterState cluster, Environment environment, Fleet fleet, long term) {
+    Provisioning(ClusterState cluster, Environment environment, Fleet fleet, long term, LinkAwareness links) {
         Settings settings = cluster.settings;
         this.cloud = new CloudClient(
                 environment, settings.cloudAddr(), settings.cloud().rps());
         this.list = new MachineList(cluster, environment, cloud, fleet.commands()::announceTerm);
-        this.returns = new MachineReturns(cluster, environment, fleet, cloud, list);
+        this.returns = new MachineReturns(cluster, environment, fleet, cloud, list, links);
         this.rentals = new Rentals(cluster, environment, fleet, cloud, term);
     }
 
--- a/src/main/java/stileferry/coordination/Users.java
+++ b/src/main/java/stileferry/coordination/Users.java
@@ -42,6 +42,9 @@
         /** Whether anything may be told or promised now. */
         boolean serving();
 
+        /** Whether anything new may be promised now. */
+        boolean promising();
+
         /** The next number of this term, higher than all before. */
         long number();
 
@@ -151,7 +154,7 @@
     }
 
     void submit(byte[] bytes, Consumer<PeerRecord.Answer> reply) {
-        if (!lead.serving()) {
+        if (!lead.promising()) {
             reply.accept(unavailable());
             return;
         }
@@ -284,7 +287,7 @@
     }
 
     void withdraw(String id, Consumer<PeerRecord.Answer> reply) {
-        if (!lead.serving()) {
+        if (!lead.promising()) {
             reply.accept(unavailable());
             return;
         }
--- /dev/null
+++ b/src/main/java/stileferry/coordination/ViewExchange.java
@@ -0,0 +1,119 @@
+package stileferry.coordination;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.connectivity.Connectivity;
+import stileferry.connectivity.InvalidInputException;
+import stileferry.connectivity.ReachabilityView;
+import stileferry.connectivity.ViewCodec;
+import stileferry.protocol.Environment;
+import stileferry.protocol.PeerRecord;
+import stileferry.protocol.Settings;
+
+/** Carries views between controllers, as far as they have shown that they exchange them. */
+final class ViewExchange {
+    private static final Logger LOG = LoggerFactory.getLogger("links");
+
+    private final Settings settings;
+    private final Environment environment;
+    private final Connectivity connectivity;
+    private final long patienceMs;
+    private final Consumer<ReachabilityView.Header> taken;
+    private final Set<String> aware = new LinkedHashSet<>();
+    private final Set<String> inFlight = new HashSet<>();
+    private long exchangedAt = Long.MIN_VALUE / 2;
+
+    /** The consumer is told of each view that was taken in. */
+    ViewExchange(
+            Settings settings,
+            Environment environment,
+            Connectivity connectivity,
+            long patienceMs,
+            Consumer<ReachabilityView.Header> taken) {
+        this.settings = settings;
+        this.environment = environment;
+        this.connectivity = connectivity;
+        this.patienceMs = patienceMs;
+        this.taken = taken;
+    }
+
+    /** The controllers that exchange views, this one first. */
+    List<String> aware() {
+        List<String> names = new ArrayList<>(List.of(settings.node()));
+        names.addAll(aware);
+        return names;
+    }
+
+    /** Takes in what a controller's term says of who exchanges views; followers hear of each other by the leader. */
+    void learn(String controller, PeerRecord.Term said) {
+        for (Settings.Peer peer : settings.peers()) {
+            boolean saidBySomebodyWhoKnows = peer.node().equals(controller) || said.leading();
+            if (!saidBySomebodyWhoKnows) {
+                continue;
+            }
+            if (said.linkAware().contains(peer.node())) {
+                aware.add(peer.node());
+            } else {
+                aware.remove(peer.node());
+            }
+        }
+    }
+
+    /** Takes in a view and returns the answer; null: it can't be right. */
+    PeerRecord answer(PeerRecord.Links links) {
+        try {
+            ReachabilityView view = ViewCodec.read(links.view());
+            String sender = view.header().sender();
+            take(view);
+            connectivity.peerHeard(sender, environment.now());
+            return new PeerRecord.Links(ViewCodec.write(connectivity.viewFor(sender, environment.now())));
+        } catch (InvalidInputException e) {
+            LOG.info("a view that can't be right: {}", e.getMessage());
+            return null;
+        }
+    }
+
+    private void take(ReachabilityView view) {
+        connectivity.take(view, environment.now());
+        taken.accept(view.header());
+    }
+
+    /** Exchanges views with all when it is time. */
+    void ifDue() {
+        if (environment.now() - exchangedAt >= connectivity.exchangeMs()) {
+            withAll();
+        }
+    }
+
+    /** Exchanges views with all now. */
+    void withAll() {
+        exchangedAt = environment.now();
+        for (Settings.Peer peer : settings.peers()) {
+            if (aware.contains(peer.node()) && inFlight.add(peer.node())) {
+                with(peer);
+            }
+        }
+    }
+
+    private void with(Settings.Peer peer) {
+        ReachabilityView view = connectivity.viewFor(peer.node(), environment.now());
+        environment.peer(peer, new PeerRecord.Links(ViewCodec.write(view)), patienceMs, answer -> {
+            inFlight.remove(peer.node());
+            if (answer instanceof PeerRecord.Links links) {
+                try {
+                    take(ViewCodec.read(links.view()));
+                } catch (InvalidInputException e) {
+                    LOG.info("a view that can't be right: {}", e.getMessage());
+                }
+            } else if (answer != null) {
+                aware.remove(peer.node()); // it does not watch its links any more
+            }
+        });
+    }
+}
--- a/src/main/java/stileferry/protocol/PeerRecord.java
+++ b/src/main/java/stileferry/protocol/PeerRecord.java
@@ -28,13 +28,30 @@
     record Answer(int status, int retryAfterS, byte[] body) implements PeerRecord {}
 
     /** The highest term its sender knows, who leads in it (empty: nobody known), and whether the sender does. */
-    record Term(long term, String leader, boolean leading, Knowledge knowledge) implements PeerRecord {
+    record Term(long term, String leader, boolean leading, Knowledge knowledge, List<String> linkAware)
+            implements PeerRecord {
+        /** A term whose sender does not watch its links. */
+        public Term(long term, String leader, boolean leading, Knowledge knowledge) {
+            this(term, leader, leading, knowledge, List.of());
+        }
+
         /** A term of the older form, which says nothing of cancellations. */
         public Term(long term, String leader, boolean leading) {
             this(term, leader, leading, null);
         }
+
+        /** The same with the controllers that are known to exchange views of their links, the sender first. */
+        public Term with(List<String> controllers) {
+            return new Term(term, leader, leading, knowledge, controllers);
+        }
     }
 
+    /**
+     * A controller's view of its links, in the form that {@code stileferry.connectivity} writes, and the answer to one.
+     * It is sent only to controllers that have shown, in a {@link Term}, that they exchange views.
+     */
+    record Links(byte[] view) implements PeerRecord {}
+
     /**
      * What the sender of a term knows of cancelled jobs. Controllers of version 0.1 neither write this nor read it: it
      * stands behind all that they know.
@@ -71,7 +88,11 @@
                 out.writeBoolean(t.leading());
                 if (t.knowledge() != null) {
                     write(out, t.knowledge());
+                    writeLinkAware(out, t.linkAware());
                 }
+            } else if (record instanceof Links l) {
+                out.writeByte(4);
+                writeBytes(out, l.view());
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -97,7 +118,10 @@
                             in.readLong(),
                             in.readUTF(),
                             in.readBoolean(),
-                            in.available() > 0 ? readKnowledge(in) : null);
+                            in.available() > 0 ? readKnowledge(in) : null,
+                            in.available() > 0 ? readLinkAware(in) : List.of());
+                case 4:
+                    return new Links(readBytes(in));
                 default:
                     return null;
             }
@@ -133,6 +157,24 @@
         return new Knowledge(process, addressee, informed, complete, cancelled);
     }
 
+    /** Versions before this one do not look at what stands here. */
+    private static void writeLinkAware(DataOutputStream out, List<String> names) throws IOException {
+        if (!names.isEmpty()) {
+            out.writeByte(names.size());
+            for (String name : names) {
+                out.writeUTF(name);
+            }
+        }
+    }
+
+    private static List<String> readLinkAware(DataInputStream in) throws IOException {
+        List<String> names = new ArrayList<>();
+        for (int n = in.readUnsignedByte(); n > 0; n--) {
+            names.add(in.readUTF());
+        }
+        return List.copyOf(names);
+    }
+
     private static void writeBytes(DataOutputStream out, byte[] bytes) throws IOException {
         out.writeInt(bytes.length);
         out.write(bytes);
--- a/src/main/java/stileferry/storage/Ledger.java
+++ b/src/main/java/stileferry/storage/Ledger.java
@@ -179,6 +179,11 @@
         return dirty.size() + events.backlog();
     }
 
+    /** Transactions that were sent and have no known outcome. */
+    public int inFlight() {
+        return inFlight;
+    }
+
     /** Stops everything; no action runs any more. */
     public void close() {
         closed = true;
--- a/src/main/java/stileferry/transport/EventLoop.java
+++ b/src/main/java/stileferry/transport/EventLoop.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetAddress;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -19,6 +20,11 @@
     final HttpCaller http;
 
     EventLoop(int idleConnections) throws IOException {
+        this(idleConnections, null);
+    }
+
+    /** An event loop whose outgoing connections come from this address; null: the system chooses. */
+    EventLoop(int idleConnections, InetAddress source) throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
@@ -27,7 +33,7 @@
                         .set(Options.TCP_NODELAY, true)
                         .getMap());
         thread = worker.getIoThread();
-        http = new HttpCaller(thread, buffers, idleConnections);
+        http = new HttpCaller(thread, buffers, idleConnections, source);
     }
 
     @Override
--- a/src/main/java/stileferry/transport/HttpCaller.java
+++ b/src/main/java/stileferry/transport/HttpCaller.java
@@ -11,6 +11,8 @@
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -49,7 +51,11 @@
         void done(int status, byte[] body);
     }
 
-    HttpCaller(XnioIoThread thread, ByteBufferPool buffers, int maxIdle) {
+    /** Null stands for an address that the system chooses. */
+    private final InetSocketAddress source;
+
+    HttpCaller(XnioIoThread thread, ByteBufferPool buffers, int maxIdle, InetAddress source) {
+        this.source = source == null ? null : new InetSocketAddress(source, 0);
         this.maxIdle = maxIdle;
         this.thread = thread;
         this.buffers = buffers;
@@ -140,6 +146,7 @@
                             fail();
                         }
                     },
+                    source,
                     URI.create("http://" + addr),
                     thread,
                     buffers,
--- a/src/main/java/stileferry/transport/Node.java
+++ b/src/main/java/stileferry/transport/Node.java
@@ -5,11 +5,13 @@
 import io.undertow.server.ConnectorStatistics;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import org.xnio.Options;
 import stileferry.coordination.Coordinator;
+import stileferry.protocol.Features;
 import stileferry.protocol.Settings;
 import stileferry.protocol.Sockets;
 
@@ -34,9 +36,9 @@
      * simulated machines, where the places of system calls are rewritten while the process runs, one thread that loaded
      * classes from the jar while another read from its sockets ended the runtime within libc's read.
      */
-    public static Node open(Settings settings) throws IOException {
-        EventLoop loop = new EventLoop(settings.sockets().idle());
-        FutureTask<Node> opening = new FutureTask<>(() -> new Node(settings, loop));
+    public static Node open(Settings settings, Features features, InetAddress source) throws IOException {
+        EventLoop loop = new EventLoop(settings.sockets().idle(), source);
+        FutureTask<Node> opening = new FutureTask<>(() -> new Node(settings, features, loop));
         loop.thread.execute(opening);
         try {
             return opening.get();
@@ -51,14 +53,14 @@
         }
     }
 
-    private Node(Settings settings, EventLoop loop) {
+    private Node(Settings settings, Features features, EventLoop loop) {
         this.loop = loop;
         idleMs = (int)
                 Math.max(LEAST_IDLE_MS, IDLE_REPORTS * 1000 * settings.workers().reportS());
         Sockets sockets = settings.sockets();
         owner = new Owner(loop.thread);
         environment = new NetworkEnvironment(owner, loop, sockets.forwards());
-        Coordinator coordinator = new Coordinator(settings, environment);
+        Coordinator coordinator = new Coordinator(settings, features, environment);
         owner.afterBatch(coordinator::endOfBatch);
         peers = server(settings.peerListen(), sockets.peers(), new PeerServer(owner, coordinator));
         users = server(
--- /dev/null
+++ b/src/test/java/stileferry/cli/FeaturesSwitchTest.java
@@ -0,0 +1,101 @@
+package stileferry.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import stileferry.protocol.Features;
+import stileferry.transport.StandInHost;
+
+/** The features file: both files of the deployment are read, what is wrong ends the process, what is off stays out. */
+class FeaturesSwitchTest {
+    private static final long LIFE_S = 4;
+
+    @TempDir
+    private Path dir;
+
+    private static String errorsOf(int expected, String... args) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(bytes));
+        try {
+            assertEquals(expected, Daemon.run(args));
+        } finally {
+            System.setErr(before);
+        }
+        return bytes.toString();
+    }
+
+    @Test
+    void bothFilesOfTheDeploymentAreRead() {
+        assertTrue(FeaturesFile.read(Path.of("deploy/features.json")).features() != null);
+        assertEquals(
+                new Features(true),
+                FeaturesFile.read(Path.of("deploy/features-all.json")).features());
+    }
+
+    @Test
+    void anUnusableFileEndsTheProcessWithOneLineThatNamesTheField() throws IOException {
+        StandInHost standIns = StandIns.start(Ports.free(7), dir);
+        standIns.close();
+        String config = dir.resolve("node-0.json").toString();
+        Path features = dir.resolve("features.json");
+        Files.writeString(features, "{\"partial_cuts\":\"yes\"}");
+        String wrongType = errorsOf(2, "--config", config, "--features", features.toString());
+        assertEquals("stileferry: features: partial_cuts: must be true or false", wrongType.strip());
+        Files.writeString(features, "{\"partial\":true}");
+        String unknown = errorsOf(2, "--config", config, "--features", features.toString());
+        assertEquals("stileferry: features: partial: no such feature", unknown.strip());
+        String missing = errorsOf(
+                2, "--config", config, "--features", dir.resolve("none.json").toString());
+        assertTrue(missing.startsWith("stileferry: features: can't read"), missing);
+        assertEquals(1, missing.strip().lines().count());
+    }
+
+    /** A controller with a tenth of a core must not pay for what is off. */
+    @Test
+    void whatIsOffLoadsNoClasses() throws Exception {
+        int port = Ports.free(7);
+        try (StandInHost standIns = StandIns.start(port, dir)) {
+            String off = classesOf("deploy/features.json");
+            assertTrue(off.contains("stileferry.coordination.Leader "), "the controller led");
+            assertFalse(off.contains("stileferry.connectivity"), "off, and loaded");
+            assertFalse(off.contains("org.roaringbitmap"), "off, and loaded");
+            String on = classesOf("deploy/features-all.json");
+            assertTrue(on.contains("stileferry.connectivity.Connectivity "), "on, and not loaded");
+        }
+    }
+
+    private String classesOf(String features) throws IOException, InterruptedException {
+        File log = dir.resolve("classes.log").toFile();
+        Process process = new ProcessBuilder(
+                        ProcessHandle.current().info().command().orElse("java"),
+                        "-Xlog:class+load:file=" + log,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "stileferry.cli.Daemon",
+                        "--config",
+                        dir.resolve("node-0.json").toString(),
+                        "--features",
+                        features)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        try {
+            assertFalse(process.waitFor(LIFE_S, TimeUnit.SECONDS), "the controller ended by itself");
+        } finally {
+            process.destroy();
+            process.waitFor();
+        }
+        return Files.readString(log.toPath());
+    }
+}
--- /dev/null
+++ b/src/test/java/stileferry/coordination/PartialCutsTest.java
@@ -0,0 +1,399 @@
+package stileferry.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stileferry.coordination.RulesTest.array;
+import static stileferry.coordination.RulesTest.restart;
+import static stileferry.coordination.RulesTest.service;
+import static stileferry.coordination.SimulatedNetwork.WORKERS;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import stileferry.coordination.SimulatedNetwork.Mode;
+import stileferry.protocol.Features;
+import stileferry.protocol.JobSpec;
+
+/** Links between controllers, workers and the state service are cut one by one and in pairs, in either direction. */
+class PartialCutsTest {
+    private static final Features ON = new Features(true);
+
+    /** Two releases at once, and one more in two leases of 10 s, by each controller; and one for each that crashes. */
+    private static final long BOUND_AT_ONCE = 2;
+
+    private static final double BOUND_REST_S = 20;
+
+    /** Services and long arrays run, and somebody leads. */
+    static World busy(long seed, Features features) {
+        World w = new World(seed);
+        w.features = features;
+        w.play(3);
+        for (int i = 0; i < 4; i++) {
+            w.submit(array(i, "any", JobSpec.Priority.NORMAL, 2, 300));
+        }
+        w.submit(service(6, 2, 1));
+        w.submit(service(7, 2, 1));
+        w.play(30);
+        assertEquals(12, w.running());
+        return w;
+    }
+
+    private static long term(World w) {
+        return w.state.value("a/term").path("term").asLong();
+    }
+
+    private static String name(World.Node node) {
+        return node.settings.node();
+    }
+
+    private static List<World.Node> others(World w, World.Node node) {
+        return w.nodes.values().stream().filter(n -> n != node).toList();
+    }
+
+    /** After the troubles everything that was asked for runs or is done, and no rule was broken. */
+    static void mended(World w) {
+        w.network.restoreAll();
+        w.quietSince = w.now;
+        w.play(90);
+        assertEquals(List.of(), w.violations);
+        for (World.User u : w.users.values()) {
+            if (u.accepted && u.end == null) {
+                assertEquals(u.spec.tasks() - u.tasksDone.size(), w.running(u), u.spec.id() + " runs whole");
+            }
+        }
+    }
+
+    private static int endedDuring(World w, double seconds) {
+        int before = w.ended;
+        w.play(seconds);
+        assertEquals(List.of(), w.violations);
+        return w.ended - before;
+    }
+
+    /** How long it takes until a new job runs, in seconds, at most so many. */
+    private static double secondsToRun(World w, int number, double most) {
+        World.User user = w.submit(service(number, 1, 1));
+        long from = w.now;
+        while (user.startedAt == 0 && w.now - from < most * 1000 && w.violations.isEmpty()) {
+            w.play(0.1);
+        }
+        assertEquals(List.of(), w.violations);
+        return user.startedAt == 0 ? most : (user.startedAt - from) / 1000.0;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mode.class)
+    void theLeaderLosesTheStateServiceButKeepsWorkersAndPeers(Mode mode) {
+        World w = busy(501, ON);
+        World.Node old = w.leader();
+        w.network.blockBoth(name(old), World.STATE, mode);
+        assertEquals(0, endedDuring(w, 15), "no task is lost");
+        if (mode != Mode.SLOW) {
+            assertTrue(w.leader() != null && w.leader() != old, "another controller leads");
+        }
+        assertTrue(secondsToRun(w, 50, 20) < 20, "work goes on");
+        mended(w);
+    }
+
+    /** Before, such a leader went on for good: its followers sent it every report, which cost each worker seconds. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Mode.class,
+            names = {"LOST", "REFUSED"})
+    void theLeaderKeepsTheStateServiceButReachesNoWorker(Mode mode) {
+        World w = busy(502, ON);
+        World.Node old = w.leader();
+        w.network.blockBoth(name(old), WORKERS, mode);
+        assertEquals(0, endedDuring(w, 30), "no task is lost");
+        assertNotEquals(old, w.leader(), "the leadership went to a controller that reaches the workers");
+        assertEquals(2, term(w));
+        assertTrue(secondsToRun(w, 50, 20) < 6, "work goes on");
+        mended(w);
+    }
+
+    /** Before, every lease lapsed and nobody else could lead, as the leader key was renewed all the while. */
+    @Test
+    void aLeaderThatReachesTheStateServiceAloneReleasesTheLeadership() {
+        World w = busy(503, ON);
+        World.Node old = w.leader();
+        w.network.blockBoth(name(old), WORKERS, Mode.LOST);
+        others(w, old).forEach(n -> w.network.blockBoth(name(old), name(n), Mode.LOST));
+        w.play(25);
+        assertEquals(List.of(), w.violations);
+        assertNotEquals(old, w.leader());
+        assertTrue(secondsToRun(w, 50, 20) < 20, "work goes on");
+        assertEquals(2, term(w));
+        mended(w);
+    }
+
+    @Test
+    void theLeaderReachesHalfTheWorkersAndAPeerTheOtherHalf() {
+        World w = busy(504, ON);
+        World.Node old = w.leader();
+        World.Node peer = others(w, old).get(0);
+        World.Node third = others(w, old).get(1);
+        int i = 0;
+        for (String addr : List.copyOf(w.workers.keySet())) {
+            w.network.blockBoth(i % 2 == 1 ? name(old) : name(peer), addr, Mode.REFUSED);
+            w.network.blockBoth(name(third), addr, Mode.REFUSED);
+            i++;
+        }
+        assertEquals(0, endedDuring(w, 60), "no task is lost: reports go by way of the peer");
+        assertEquals(old, w.leader(), "nobody is clearly better, so the leader stays");
+        assertEquals(1, term(w));
+        mended(w);
+    }
+
+    @Test
+    void theLeaderHearsReportsWhileItsAnswersAndCommandsAreLost() {
+        World w = busy(505, ON);
+        World.Node old = w.leader();
+        w.network.block(name(old), WORKERS, Mode.LOST);
+        w.play(40);
+        assertEquals(List.of(), w.violations);
+        assertNotEquals(old, w.leader());
+        assertTrue(secondsToRun(w, 50, 20) < 6, "work goes on");
+        mended(w);
+    }
+
+    @Test
+    void theLeaderHearsNoReportsWhileItsCommandsArrive() {
+        World w = busy(506, ON);
+        World.Node old = w.leader();
+        w.network.block(WORKERS, name(old), Mode.REFUSED);
+        assertEquals(0, endedDuring(w, 80), "no task is lost");
+        assertNotEquals(old, w.leader());
+        assertTrue(secondsToRun(w, 50, 20) < 6, "work goes on");
+        mended(w);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mode.class)
+    void controllersCutFromOneAnotherAloneElectNobodyAndGoOn(Mode mode) {
+        World w = busy(507, ON);
+        World.Node old = w.leader();
+        for (World.Node a : w.nodes.values()) {
+            others(w, a).forEach(b -> w.network.block(name(a), name(b), mode));
+        }
+        assertEquals(0, endedDuring(w, 60), "no task is lost");
+        assertEquals(old, w.leader());
+        assertEquals(1, term(w), "no election");
+        World.User user = w.submit(service(60, 1, 1));
+        w.play(25);
+        assertTrue(user.startedAt > 0, "no start is withheld");
+        mended(w);
+    }
+
+    /** A link that comes and goes, alone or with another one: leadership does not wander, and work goes on. */
+    @ParameterizedTest
+    @CsvSource({
+        "1,workers",
+        "2,workers",
+        "5,workers",
+        "10,workers",
+        "1,peers",
+        "2,peers",
+        "5,peers",
+        "10,peers",
+        "1,state",
+        "2,state",
+        "5,state",
+        "10,state",
+        "2,workers+peers",
+        "5,workers+peers",
+        "10,workers+peers",
+        "5,workers+state",
+        "10,state+peers"
+    })
+    void aCutThatComesAndGoes(int periodS, String links) {
+        World w = busy(510 + periodS, ON);
+        World.Node old = w.leader();
+        long before = term(w);
+        double seconds = 80;
+        int done = 0;
+        for (double t = 0; t < seconds; t += periodS) {
+            boolean broken = (int) Math.round(t / periodS) % 2 == 0;
+            w.network.restoreAll();
+            if (broken) {
+                cut(w, old, links);
+            }
+            if (done < 8) {
+                w.submit(array(100 + done++, "any", JobSpec.Priority.NORMAL, 1, 1));
+            }
+            w.play(periodS);
+            assertEquals(List.of(), w.violations);
+        }
+        long changes = term(w) - before;
+        double bound = links.contains("state")
+                ? seconds / periodS // each lost lease is an election, whatever links say
+                : 3 * (BOUND_AT_ONCE + seconds / BOUND_REST_S);
+        assertTrue(changes <= bound, changes + " changes of leadership, bound " + bound);
+        mended(w);
+        for (World.User u : w.users.values()) {
+            assertTrue(u.spec.estimateS() > 1 || u.spec.service() || "done".equals(u.end), u.spec.id() + " is done");
+        }
+    }
+
+    private static void cut(World w, World.Node node, String links) {
+        for (String link : links.split("\\+")) {
+            switch (link) {
+                case "workers" -> w.network.blockBoth(name(node), WORKERS, Mode.LOST);
+                case "state" -> w.network.blockBoth(name(node), World.STATE, Mode.LOST);
+                default -> others(w, node).forEach(n -> w.network.blockBoth(name(node), name(n), Mode.LOST));
+            }
+        }
+    }
+
+    @Test
+    void threeControllersEachWithAnotherBrokenLink() {
+        World w = busy(530, ON);
+        World.Node leader = w.leader();
+        World.Node second = others(w, leader).get(0);
+        World.Node third = others(w, leader).get(1);
+        w.network.blockBoth(name(leader), WORKERS, Mode.LOST);
+        w.network.blockBoth(name(second), World.STATE, Mode.LOST);
+        w.network.blockBoth(name(third), name(second), Mode.LOST);
+        assertEquals(0, endedDuring(w, 40), "no task is lost");
+        assertEquals(third, w.leader(), "the only one with the state service and the workers");
+        assertTrue(secondsToRun(w, 50, 20) < 6, "work goes on");
+        mended(w);
+    }
+
+    /** If every controller is poor, the best one still serves. */
+    @Test
+    void noControllerReachesAnyWorker() {
+        World w = busy(531, ON);
+        World.Node leader = w.leader();
+        w.nodes.values().forEach(n -> w.network.blockBoth(name(n), WORKERS, Mode.LOST));
+        w.play(60);
+        assertEquals(List.of(), w.violations);
+        assertEquals(leader, w.leader(), "nobody is better");
+        World.User user = w.submit(array(70, "any", JobSpec.Priority.NORMAL, 1, 1));
+        w.play(5);
+        assertTrue(user.accepted, "users are served");
+        mended(w);
+    }
+
+    /** Brings the leader to hand over, and plays until the nominee has been asked. */
+    private static World handingOver(long seed) {
+        World w = busy(seed, ON);
+        w.network.blockBoth(name(w.leader()), WORKERS, Mode.LOST);
+        World.Node old = w.leader();
+        for (int i = 0; i < 3000 && !old.coordinator.links().handingOver(); i++) {
+            w.play(0.01);
+        }
+        assertTrue(old.coordinator.links().handingOver(), "no handover began");
+        return w;
+    }
+
+    @Test
+    void theNomineeLosesItsLinkDuringTheHandover() {
+        World w = handingOver(540);
+        World.Node old = w.leader();
+        others(w, old).forEach(n -> w.network.blockBoth(name(n), World.STATE, Mode.LOST));
+        w.play(8);
+        assertEquals(List.of(), w.violations);
+        others(w, old).forEach(n -> w.network.restoreBoth(name(n), World.STATE));
+        w.play(25);
+        assertTrue(secondsToRun(w, 50, 30) < 30, "somebody leads and work goes on");
+        mended(w);
+    }
+
+    /** Each step may be the last: the leader's process stands still before, within or after its release. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5, 20, 60, 120, 300, 1000})
+    void aLeaderFrozenAroundItsRelease(int afterMs) {
+        World w = handingOver(541);
+        World.Node old = w.leader();
+        w.play(afterMs / 1000.0);
+        old.environment.freeze(12_000);
+        w.play(32);
+        assertEquals(List.of(), w.violations);
+        assertTrue(w.leader() != null, "somebody leads");
+        assertTrue(secondsToRun(w, 50, 30) < 30, "work goes on");
+        mended(w);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,100", "30,100", "100,200", "500,100"})
+    void aProcessIsBackInASplitSecondDuringAHandover(int afterMs, int awayMs) {
+        for (int who = 0; who < 3; who++) {
+            World w = handingOver(550 + who);
+            w.play(afterMs / 1000.0);
+            restart(w, List.copyOf(w.nodes.values()).get(who), awayMs);
+            w.play(30);
+            assertEquals(List.of(), w.violations);
+            assertTrue(secondsToRun(w, 50, 30) < 30, "work goes on");
+            mended(w);
+        }
+    }
+
+    @Test
+    void twoCutsThatOverlapWithAnOutageOfTheStateService() {
+        World w = busy(560, ON);
+        World.Node leader = w.leader();
+        w.network.blockBoth(name(leader), WORKERS, Mode.LOST);
+        w.play(4);
+        w.network.blockBoth(name(leader), name(others(w, leader).get(0)), Mode.REFUSED);
+        w.stateDown = true;
+        w.play(15);
+        w.stateDown = false;
+        w.state.renewAll(w.now);
+        w.play(25);
+        assertEquals(List.of(), w.violations);
+        assertTrue(secondsToRun(w, 50, 30) < 30, "work goes on");
+        mended(w);
+    }
+
+    /**
+     * A worker that is silent to the leader alone, as its reports are refused there and passed on nowhere, is not given
+     * up while another controller reaches it.
+     */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aWorkerSilentToOneControllerOnlyIsNotGivenUp(boolean on) {
+        World w = busy(570, on ? ON : Features.NONE);
+        World.Node leader = w.leader();
+        String machine = w.machineInUse();
+        String addr = "w-" + machine + ":1";
+        w.network.blockBoth(name(leader), addr, Mode.LOST);
+        others(w, leader).forEach(n -> w.network.block(addr, name(n), Mode.REFUSED));
+        int deletions = w.cloud.deletionRequests();
+        w.play(9.5);
+        assertEquals(on ? deletions : deletions + 1, w.cloud.deletionRequests(), "deletions before the lease's end");
+        mended(w);
+    }
+
+    /** Views and reports that come over a lease late are old news, whatever they say. */
+    @Test
+    void lateCopiesOfReportsChangeNothing() {
+        World w = busy(580, ON);
+        w.lateCopies = 0.5;
+        World.Node leader = w.leader();
+        assertEquals(0, endedDuring(w, 60), "no task is lost");
+        assertEquals(leader, w.leader());
+        assertEquals(1, term(w));
+        mended(w);
+    }
+
+    /** A version that knows nothing of views is neither sent any nor handed anything over to. */
+    @Test
+    void olderVersionsTakeNoPart() {
+        World w = new World(590);
+        w.features = ON;
+        w.withoutFeatures.addAll(List.of("n1", "n2"));
+        w.play(3);
+        w.submit(service(6, 2, 2));
+        w.play(30);
+        World.Node leader = w.leader();
+        w.network.blockBoth(name(leader), WORKERS, Mode.LOST);
+        w.play(40);
+        assertEquals(List.of(), w.violations);
+        assertEquals(leader, w.leader(), "as before");
+        mended(w);
+    }
+}
--- a/src/test/java/stileferry/coordination/ProvisioningTest.java
+++ b/src/test/java/stileferry/coordination/ProvisioningTest.java
@@ -23,7 +23,7 @@
         World.SimulatedEnvironment environment = node.environment;
         ClusterState cluster = new ClusterState(node.settings);
         Fleet fleet = new Fleet(cluster, environment, null, 1, null, null, new EventLoopLag(environment, 1));
-        Provisioning provisioning = new Provisioning(cluster, environment, fleet, 1);
+        Provisioning provisioning = new Provisioning(cluster, environment, fleet, 1, LinkAwareness.NONE);
         provisioning.list();
         w.play(1);
         Job job = new Job(
--- /dev/null
+++ b/src/test/java/stileferry/coordination/SimulatedNetwork.java
@@ -0,0 +1,152 @@
+package stileferry.coordination;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import stileferry.protocol.Environment;
+
+/** The links of the simulated world: what passes, what is lost, refused, held back or late, in each direction apart. */
+final class SimulatedNetwork {
+    /** Stands for every worker where a link is named. */
+    static final String WORKERS = "workers";
+
+    private static final long SLOW_MS = 2500;
+
+    private final World world;
+
+    /** Hosts that can't reach others, or be reached, until the time given; packets in between come late. */
+    private final Map<String, Long> cutUntil = new HashMap<>();
+
+    /** Hosts whose messages arrive, while nothing reaches them. */
+    final Set<String> deaf = new TreeSet<>();
+
+    /** Nodes cut off from the state service and the other nodes, but not from workers and users. */
+    final Set<String> alone = new TreeSet<>();
+
+    /** Nodes that take up to so many milliseconds longer for everything that reaches them. */
+    final Map<String, Long> slow = new HashMap<>();
+
+    private final Set<Rule> rules = new LinkedHashSet<>();
+
+    /** How a link is broken. */
+    enum Mode {
+        /** Messages in this direction vanish. */
+        LOST,
+
+        /** Connections in this direction are refused. */
+        REFUSED,
+
+        /** Messages in this direction come late. */
+        SLOW
+    }
+
+    /** One broken direction. */
+    private record Rule(String from, String to, Mode mode) {
+        boolean covers(String sender, String receiver) {
+            return names(from, sender) && names(to, receiver);
+        }
+
+        private static boolean names(String name, String host) {
+            return name.equals(host) || name.equals(WORKERS) && host.startsWith("w-");
+        }
+    }
+
+    SimulatedNetwork(World world) {
+        this.world = world;
+    }
+
+    /** Breaks one direction of a link until it is restored. */
+    void block(String from, String to, Mode mode) {
+        rules.add(new Rule(from, to, mode));
+    }
+
+    /** Breaks both directions. */
+    void blockBoth(String a, String b, Mode mode) {
+        block(a, b, mode);
+        block(b, a, mode);
+    }
+
+    /** Mends one direction of a link. */
+    void restore(String from, String to) {
+        rules.removeIf(rule -> rule.from.equals(from) && rule.to.equals(to));
+    }
+
+    /** Mends both directions. */
+    void restoreBoth(String a, String b) {
+        restore(a, b);
+        restore(b, a);
+    }
+
+    /** Mends all links that {@link #block} broke. */
+    void restoreAll() {
+        rules.clear();
+    }
+
+    void cut(String host, long ms) {
+        cutUntil.put(host, world.now + ms);
+    }
+
+    long heldUntil(String a, String b) {
+        return Math.max(cutUntil.getOrDefault(a, 0L), cutUntil.getOrDefault(b, 0L));
+    }
+
+    private boolean broken(String from, String to, Mode mode) {
+        return !rules.isEmpty() && rules.stream().anyMatch(rule -> rule.mode == mode && rule.covers(from, to));
+    }
+
+    private void deliver(String from, String to, Runnable task) {
+        if (deaf.contains(to) || cutOff(from, to) || broken(from, to, Mode.LOST)) {
+            return;
+        }
+        long held = Math.max(0, heldUntil(from, to) - world.now);
+        long late = slow.containsKey(to) ? world.random.nextLong(slow.get(to)) : 0;
+        late += from.equals(World.STATE) && world.slowStoreMs > 0 ? world.random.nextLong(world.slowStoreMs) : 0;
+        late += broken(from, to, Mode.SLOW) ? world.random.nextLong(SLOW_MS) : 0;
+        world.after(held + late + 1 + world.random.nextLong(6), task);
+    }
+
+    private boolean cutOff(String from, String to) {
+        boolean inside = world.nodes.containsKey(from) && world.nodes.containsKey(to)
+                || from.equals(World.STATE)
+                || to.equals(World.STATE);
+        return inside && (alone.contains(from) || alone.contains(to));
+    }
+
+    /** A request with its answer; the caller gives up in time, but what was sent arrives all the same. */
+    void exchange(
+            String from,
+            String to,
+            long timeoutMs,
+            boolean connects,
+            Consumer<Environment.Reply> serve,
+            Environment.Reply reply) {
+        boolean[] over = new boolean[1];
+        if (!connects || broken(from, to, Mode.REFUSED)) {
+            world.after(2, () -> reply.done(Environment.NOT_SENT, null));
+            return;
+        }
+        world.after(timeoutMs, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                reply.done(Environment.NO_ANSWER, null);
+            }
+        });
+        deliver(
+                from,
+                to,
+                () -> serve.accept((status, body) -> {
+                    if (world.random.nextDouble() < world.lostAnswers) {
+                        return;
+                    }
+                    deliver(to, from, () -> {
+                        if (!over[0]) {
+                            over[0] = true;
+                            reply.done(status, body);
+                        }
+                    });
+                }));
+    }
+}
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -14,6 +14,7 @@
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import stileferry.protocol.Environment;
+import stileferry.protocol.Features;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MessageCodec;
 import stileferry.protocol.PeerRecord;
@@ -51,17 +52,19 @@
     boolean stateDown;
     double lostAnswers;
 
-    /** Hosts that can't reach others, or be reached, until the time given; packets in between come late. */
-    private final Map<String, Long> cutUntil = new HashMap<>();
+    final SimulatedNetwork network = new SimulatedNetwork(this);
+
+    /** What the controllers that start from now on have turned on. */
+    Features features = Features.NONE;
+
+    /** Controllers of a version that has no features, whatever is turned on. */
+    final Set<String> withoutFeatures = new TreeSet<>();
 
     /** Nodes that the state service answers 503. */
     final Set<String> refused = new TreeSet<>();
 
-    /** Hosts whose messages arrive, while nothing reaches them. */
-    final Set<String> deaf = new TreeSet<>();
-
-    /** Nodes cut off from the state service and the other nodes, but not from workers and users. */
-    final Set<String> alone = new TreeSet<>();
+    final Set<String> deaf = network.deaf;
+    final Set<String> alone = network.alone;
 
     /**
      * Nodes whose records to other controllers have the form of the first version, f7fe539, which neither writes nor
@@ -72,8 +75,7 @@
     /** Nodes refuse each other's connections. */
     boolean peersRefuse;
 
-    /** Nodes that take up to so many milliseconds longer for everything that reaches them. */
-    final Map<String, Long> slow = new HashMap<>();
+    final Map<String, Long> slow = network.slow;
 
     /** What the state service's answers take longer, at most. */
     long slowStoreMs;
@@ -167,7 +169,8 @@
 
         void start() {
             environment = new SimulatedEnvironment(this);
-            coordinator = new Coordinator(settings, environment);
+            coordinator = new Coordinator(
+                    settings, withoutFeatures.contains(settings.node()) ? Features.NONE : features, environment);
             environment.turn(coordinator::start);
         }
 
@@ -339,7 +342,7 @@
     }
 
     void cut(String host, long ms) {
-        cutUntil.put(host, now + ms);
+        network.cut(host, ms);
     }
 
     /** Cuts all machines of a zone off; the nodes are elsewhere. */
@@ -351,60 +354,6 @@
         return workers.get("w-" + machine + ":1").zone();
     }
 
-    private long heldUntil(String a, String b) {
-        return Math.max(cutUntil.getOrDefault(a, 0L), cutUntil.getOrDefault(b, 0L));
-    }
-
-    private void deliver(String from, String to, Runnable task) {
-        if (deaf.contains(to) || cutOff(from, to)) {
-            return;
-        }
-        long held = Math.max(0, heldUntil(from, to) - now);
-        long late = slow.containsKey(to) ? random.nextLong(slow.get(to)) : 0;
-        late += from.equals(STATE) && slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0;
-        after(held + late + 1 + random.nextLong(6), task);
-    }
-
-    private boolean cutOff(String from, String to) {
-        boolean inside = nodes.containsKey(from) && nodes.containsKey(to) || from.equals(STATE) || to.equals(STATE);
-        return inside && (alone.contains(from) || alone.contains(to));
-    }
-
-    /** A request with its answer; the caller gives up in time, but what was sent arrives all the same. */
-    private void exchange(
-            String from,
-            String to,
-            long timeoutMs,
-            boolean connects,
-            Consumer<Environment.Reply> serve,
-            Environment.Reply reply) {
-        boolean[] over = new boolean[1];
-        if (!connects) {
-            after(2, () -> reply.done(Environment.NOT_SENT, null));
-            return;
-        }
-        after(timeoutMs, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                reply.done(Environment.NO_ANSWER, null);
-            }
-        });
-        deliver(
-                from,
-                to,
-                () -> serve.accept((status, body) -> {
-                    if (random.nextDouble() < lostAnswers) {
-                        return;
-                    }
-                    deliver(to, from, () -> {
-                        if (!over[0]) {
-                            over[0] = true;
-                            reply.done(status, body);
-                        }
-                    });
-                }));
-    }
-
     /** What one controller sees of the simulated world. */
     final class SimulatedEnvironment implements Environment {
         final Node node;
@@ -414,6 +363,7 @@
         String logLevel = "default";
 
         private long busyUntil;
+        private long frozenUntil;
 
         SimulatedEnvironment(Node node) {
             this.node = node;
@@ -431,6 +381,12 @@
             }
         }
 
+        /** The process stands still; what reaches it waits. */
+        void freeze(long ms) {
+            frozenUntil = World.this.now + ms;
+            busyUntil = Math.max(busyUntil, frozenUntil);
+        }
+
         private void carryOut(Runnable command) {
             if (!dead) {
                 command.run();
@@ -470,7 +426,7 @@
             Reply mine = (status, answer) -> turn(
                     () -> reply.done(status, answer == null ? null : MessageCodec.decode(MessageCodec.encode(answer))));
             if (addr.equals(STATE)) {
-                exchange(
+                network.exchange(
                         me,
                         STATE,
                         timeoutMs,
@@ -496,20 +452,24 @@
                         },
                         mine);
             } else if (addr.equals(CLOUD)) {
-                exchange(me, CLOUD, timeoutMs, true, r -> cloud.request(method, path, copy, r), mine);
+                network.exchange(me, CLOUD, timeoutMs, true, r -> cloud.request(method, path, copy, r), mine);
             } else if (hangingCalls != null) {
                 hangingCalls.accept(timeoutMs);
                 World.this.after(timeoutMs, () -> mine.done(NO_ANSWER, null));
             } else {
                 Worker w = workers.get(addr);
-                stored.checkStarts(copy, violations);
-                exchange(
+                if (copy != null) {
+                    stored.checkStarts(copy, violations);
+                }
+                network.exchange(
                         me,
                         addr,
                         timeoutMs,
-                        w != null && heldUntil(me, addr) <= now,
+                        w != null && network.heldUntil(me, addr) <= now,
                         r -> {
-                            if (workers.get(addr) == w) {
+                            if (workers.get(addr) == w && path.equals("/inspect")) {
+                                r.done(200, w.report());
+                            } else if (workers.get(addr) == w) {
                                 commandsSent += copy.path("signals").isEmpty() ? 0 : 1;
                                 int status = w.commands(copy);
                                 r.done(status, status == 400 ? null : w.report());
@@ -535,14 +495,18 @@
             String me = node.settings.node();
             Node other = nodes.get(peer.node());
             PeerRecord[] answer = new PeerRecord[1];
-            exchange(
+            network.exchange(
                     me,
                     peer.node(),
                     timeoutMs,
-                    !peersRefuse && other.up() && heldUntil(me, peer.node()) <= now,
+                    !peersRefuse && other.up() && network.heldUntil(me, peer.node()) <= now,
                     r -> {
                         if (other.up()) {
                             boolean former = formerForm.contains(me) || formerForm.contains(peer.node());
+                            if (record instanceof PeerRecord.Links && older(peer.node())) {
+                                r.done(400, null); // not a record to it
+                                return;
+                            }
                             other.environment.turn(() -> other.coordinator.peer(carried(record, former), a -> {
                                 answer[0] = carried(a, former);
                                 r.done(200, null);
@@ -553,6 +517,11 @@
         }
     }
 
+    /** Whether a controller is of a version before the views of links. */
+    private boolean older(String node) {
+        return formerForm.contains(node) || withoutFeatures.contains(node);
+    }
+
     /** A record as the other side reads it, where one of the two may have the former version's form. */
     private static PeerRecord carried(PeerRecord record, boolean former) {
         PeerRecord read = PeerRecord.read(PeerRecord.write(record));
@@ -605,11 +574,11 @@
             after(1000 + random.nextLong(3 * leaseMs), () -> copy(report, any));
         }
         Node node = nodes.get(to);
-        exchange(
+        network.exchange(
                 w.addr(),
                 to,
                 4000,
-                node.up() && !mute.contains(w.addr()) && heldUntil(w.addr(), to) <= now,
+                node.up() && !mute.contains(w.addr()) && network.heldUntil(w.addr(), to) <= now,
                 r -> {
                     if (node.up()) {
                         node.environment.turn(
@@ -751,14 +720,14 @@
         byte[] body = ask == PeerRecord.Ask.SUBMIT ? MessageCodec.encode(user.spec.write()) : new byte[0];
         PeerRecord.Answer[] answer = new PeerRecord.Answer[1];
         long asked = now;
-        exchange(
+        network.exchange(
                 "user",
                 node.settings.node(),
                 5000,
                 node.up(),
                 r -> {
                     if (node.up()) {
-                        long since = now;
+                        long since = Math.max(now, node.environment.frozenUntil);
                         node.environment.turn(() -> node.coordinator.user(ask, user.spec.id(), body, a -> {
                             if (a.status() == 503 && (a.retryAfterS() < 1 || now - since > 4500)) {
                                 violations.add("held back: " + ask + " for " + (now - since) + " ms, come back in "
--- /dev/null
+++ b/src/test/java/stileferry/protocol/FeaturesTest.java
@@ -0,0 +1,44 @@
+package stileferry.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What is not named is off, and what is wrong is named. */
+class FeaturesTest {
+    @Test
+    void whatIsNotNamedIsOff() {
+        assertEquals(Features.NONE, Features.read("{}").features());
+        assertEquals(List.of(), Features.NONE.on());
+        assertEquals(
+                List.of("partial_cuts"),
+                Features.read("{\"partial_cuts\":true}").features().on());
+        assertEquals(Features.NONE, Features.read("{\"partial_cuts\":false}").features());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{\"partial_cut\":true}|partial_cut: no such feature",
+                "{\"partial_cuts\":1}|partial_cuts: must be true or false",
+                "{\"partial_cuts\":null}|partial_cuts: must be true or false",
+                "[]|must be a JSON object",
+                "''|must be a JSON object"
+            })
+    void whatIsWrongIsNamed(String json, String problem) {
+        Features.Result read = Features.read(json);
+        assertNull(read.features());
+        assertEquals(problem, read.problem());
+    }
+
+    @Test
+    void whatIsNoJsonIsSaidSo() {
+        assertEquals(
+                "not valid JSON", Features.read("{\"partial_cuts\":").problem().split(":")[0]);
+    }
+}
