--- a/src/main/java/stileferry/connectivity/Connectivity.java
+++ b/src/main/java/stileferry/connectivity/Connectivity.java
@@ -22,6 +22,9 @@
     /** Probes that wait to be sent; more are forgotten, since they come again. */
     private static final int MOST_PROBES = 64;
 
+    /** Failed requests in a row after which another controller counts as out of reach until it answers one. */
+    private static final int PEER_FAILURES = 2;
+
     private final ConnectivityConfig config;
     private final ObservedLinks links;
     private final ViewLog sent = new ViewLog();
@@ -254,6 +257,16 @@
         return knownBy(peer, worker, time) && known.view.knows(worker) && !known.view.reaches(worker);
     }
 
+    /** Whether requests to another controller have been in vain for long, though it did not say that it is behind. */
+    public boolean unreachable(String peer, long time) {
+        Peers.Peer known = links.peers.get(peer);
+        links.advance(time);
+        boolean behind = known.view.standing() != null && known.view.standing().busy();
+        return !behind
+                && known.outbound.failuresInRow() >= PEER_FAILURES
+                && known.outbound.condition(links.now(), links.lateMs()) == LinkCondition.FAILING;
+    }
+
     /** Who leads in this term or a later one, as another controller lately said; empty: nobody did. */
     public String leaderSeenByOthers(long leastTerm, long time) {
         links.advance(time);
--- a/src/main/java/stileferry/connectivity/LinkObserver.java
+++ b/src/main/java/stileferry/connectivity/LinkObserver.java
@@ -5,8 +5,11 @@
  * each other closely count once, so that a burst does not make an ordinary pause look like a lost link.
  */
 final class LinkObserver {
-    /** The suspicion from which on a link counts as failing: one false alarm in a hundred million intervals. */
-    static final double FAILING_SUSPICION = 8;
+    /**
+     * The suspicion from which on a link counts as failing: one false alarm in a hundred thousand intervals, of which
+     * nothing follows alone.
+     */
+    static final double FAILING_SUSPICION = 5;
 
     private final long expectedMs;
     private final IntervalStatistics intervals;
--- a/src/main/java/stileferry/connectivity/WorkerLinks.java
+++ b/src/main/java/stileferry/connectivity/WorkerLinks.java
@@ -15,12 +15,6 @@
  * sweep looks only at those that have fallen silent since the last one.
  */
 final class WorkerLinks {
-    /**
-     * The suspicion from which on a worker is suspect: one false alarm in a hundred thousand reports, and all that
-     * follows from it is a question.
-     */
-    private static final double SUSPECT = 5;
-
     /** Departed workers that are remembered beyond as many as there are, before numbers are given anew. */
     private static final int SPARE_NUMBERS = 64;
 
@@ -214,7 +208,7 @@
 
     /** The silence after which a worker is suspect, from the measured intervals of all. */
     double silenceBoundMs() {
-        return Math.min(config.leaseMs() / 2.0, intervals.silenceMs(SUSPECT));
+        return Math.min(config.leaseMs() / 2.0, intervals.silenceMs(LinkObserver.FAILING_SUSPICION));
     }
 
     private WorkerLink link(WorkerReport report, long now) {
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -193,7 +193,7 @@
             return;
         }
         Settings.Peer peer = leadership.leaderPeer();
-        if (peer == null) {
+        if (peer == null || links.unreachable(peer.node())) {
             reply.accept(Users.unavailable());
             return;
         }
@@ -292,6 +292,10 @@
     }
 
     private void passOn(Report report, byte[] body, Settings.Peer peer, BiConsumer<Integer, byte[]> reply) {
+        if (links.unreachable(peer.node())) {
+            withoutLeader(report, reply);
+            return;
+        }
         environment.peer(
                 peer,
                 new PeerRecord.Forward(PeerRecord.Ask.REPORT, report.machine(), body),
--- a/src/main/java/stileferry/coordination/LinkAwareness.java
+++ b/src/main/java/stileferry/coordination/LinkAwareness.java
@@ -107,6 +107,11 @@
         return "";
     }
 
+    /** Whether requests to another controller have lately been in vain, so that there is no use in waiting for one. */
+    default boolean unreachable(String controller) {
+        return false;
+    }
+
     /** Whether a leader is handing over or just has, so that the next one will be known at once. */
     default boolean leavesOffice(String leader) {
         return false;
--- a/src/main/java/stileferry/coordination/PartialCuts.java
+++ b/src/main/java/stileferry/coordination/PartialCuts.java
@@ -47,6 +47,10 @@
     private IntSupplier changesInFlight = () -> 0;
     private long term;
     private boolean releasing;
+
+    /** The newest term of another leader that the others were told of. */
+    private long toldTerm;
+
     private long storeSeenAt = Long.MIN_VALUE / 2;
     private Advice lastAdvice;
 
@@ -63,8 +67,10 @@
         this.connectivity = new Connectivity(config, Math.max(1, environment.timeOfDay()), environment.now());
         this.tickMs = config.exchangeMs(true);
         long patienceMs = Math.max(LEAST_PATIENCE_MS, tickMs);
+        long exchangePatienceMs = config.exchangeMs(false); // one that is merely slow is no lost one
         this.storeProbeMs = config.storeProbeMs();
-        this.exchange = new ViewExchange(settings, environment(environment), connectivity, patienceMs, this::taken);
+        this.exchange =
+                new ViewExchange(settings, environment(environment), connectivity, exchangePatienceMs, this::taken);
         this.prober = new Prober(settings, environment, connectivity, patienceMs);
     }
 
@@ -239,6 +245,11 @@
     @Override
     public void learn(String controller, PeerRecord.Term said) {
         exchange.learn(controller, said);
+        if (said.leading() && said.term() > toldTerm) {
+            toldTerm = said.term();
+            connectivity.leaderKnown(said.term(), controller, environment.now());
+            exchange.withAll(); // another controller may not hear the new leader
+        }
     }
 
     @Override
@@ -272,6 +283,11 @@
         return connectivity.leaderSeenByOthers(leastTerm, environment.now());
     }
 
+    @Override
+    public boolean unreachable(String controller) {
+        return connectivity.unreachable(controller, environment.now());
+    }
+
     @Override
     public boolean leavesOffice(String leader) {
         return connectivity.handsOver(leader, environment.now());
--- a/src/test/java/stileferry/coordination/PartialCutsTest.java
+++ b/src/test/java/stileferry/coordination/PartialCutsTest.java
@@ -17,6 +17,7 @@
 import stileferry.coordination.SimulatedNetwork.Mode;
 import stileferry.protocol.Features;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.PeerRecord;
 
 /** Links between controllers, workers and the state service are cut one by one and in pairs, in either direction. */
 class PartialCutsTest {
@@ -188,6 +189,27 @@
         mended(w);
     }
 
+    /** What a follower can't pass on to the leader is answered at once, when that is known. */
+    @Test
+    void usersOfAFollowerThatCannotReachTheLeaderHearSoAtOnce() {
+        World w = busy(508, ON);
+        World.Node leader = w.leader();
+        others(w, leader).forEach(n -> w.network.block(name(n), name(leader), Mode.LOST));
+        w.play(8);
+        World.Node follower = others(w, leader).get(0);
+        long asked = w.now;
+        long[] took = {-1};
+        follower.environment.turn(
+                () -> follower.coordinator.user(PeerRecord.Ask.STATUS, "job-6", new byte[0], answer -> {
+                    assertEquals(503, answer.status());
+                    assertTrue(answer.retryAfterS() > 0);
+                    took[0] = w.now - asked;
+                }));
+        w.play(5);
+        assertTrue(took[0] >= 0 && took[0] < 100, "answered after " + took[0] + " ms");
+        mended(w);
+    }
+
     /** A link that comes and goes, alone or with another one: leadership does not wander, and work goes on. */
     @ParameterizedTest
     @CsvSource({
--- a/src/test/java/stileferry/coordination/World.java
+++ b/src/test/java/stileferry/coordination/World.java
@@ -116,6 +116,10 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long eventIds;
     private final Map<String, String> taskOn = new HashMap<>();
+
+    /** Tasks on machines, by job: with thousands of tasks they can't be counted at every beat. */
+    private final Map<String, Integer> onMachines = new HashMap<>();
+
     private final Settings template;
     private final long reportMs;
     private final long leaseMs;
@@ -269,7 +273,7 @@
                 violations.add("forgotten: " + user.spec.id() + " is not answered for");
             }
             checkLeft(user);
-            if (user.cancelledAt > 0 && now - user.cancelledAt > CANCEL_S * 1000) {
+            if (user.cancelledAt > 0 && now - user.cancelledAt > CANCEL_S * 1000 && running(user) > 0) {
                 for (String task : taskOn.keySet()) {
                     if (task.startsWith(user.spec.id() + "/")) {
                         violations.add("ran_cancelled: " + task);
@@ -639,13 +643,17 @@
                 if (user.cancelledAt > 0) {
                     violations.add("ran_cancelled: " + task + " began " + (now - user.cancelledAt) + " ms after");
                 }
-                taskOn.put(task, w.machine() + "|" + w.zone());
+                if (taskOn.put(task, w.machine() + "|" + w.zone()) == null) {
+                    onMachines.merge(user.spec.id(), 1, Integer::sum);
+                }
                 checkLimit(user.spec.team());
             }
 
             @Override
             public void ended(String task, Worker w) {
-                taskOn.remove(task, w.machine() + "|" + w.zone());
+                if (taskOn.remove(task, w.machine() + "|" + w.zone())) {
+                    onMachines.merge(task.substring(0, task.indexOf('/')), -1, Integer::sum);
+                }
                 ended++;
             }
         };
@@ -809,9 +817,7 @@
 
     /** Tasks of this job that are on machines. */
     long running(User user) {
-        return taskOn.keySet().stream()
-                .filter(task -> task.startsWith(user.spec.id() + "/"))
-                .count();
+        return onMachines.getOrDefault(user.spec.id(), 0);
     }
 
     /** Tasks that are on one machine now. */
