Watching links costs less: single suspects are asked rarely, sets are kept up to date with fewer steps

Change: single suspects are asked once a report interval and by the others only, views go out faster only while many are suspect, the silence bound is computed now and then.

--- a/src/main/java/stileferry/connectivity/Connectivity.java
+++ b/src/main/java/stileferry/connectivity/Connectivity.java
@@ -193,8 +193,8 @@
 
     /** The milliseconds after which views should be exchanged with every controller again. */
     public long exchangeMs() {
-        boolean suspects = links.leading() && links.workers.suspectCount() > 0;
-        return config.exchangeMs(suspects || control.handover().underWay());
+        boolean many = links.leading() && ProbePlanner.many(links.workers);
+        return config.exchangeMs(many || control.handover().underWay());
     }
 
     /** What this controller tells another one now. */
@@ -293,9 +293,11 @@
         require(most >= 0, "most", "negative");
         links.advance(time);
         if (links.leading()) {
-            // what is not suspect here needs no question
+            // what is not suspect here needs no question, nor do single suspects, whose reports and commands tell
+            // enough
+            boolean many = ProbePlanner.many(links.workers);
             for (WorkerLink link : planner.plan(links.workers, links.now())) {
-                if (link.suspectSince >= 0) {
+                if (many && link.suspectSince >= 0) {
                     ProbePlanner.targets(List.of(link)).forEach(this::queue);
                 }
             }
--- a/src/main/java/stileferry/connectivity/ObservedLinks.java
+++ b/src/main/java/stileferry/connectivity/ObservedLinks.java
@@ -59,6 +59,7 @@
     void lead(boolean leads) {
         leading = leads;
         manySuspectSince = -1;
+        workers.keep(leads);
         if (leads) {
             workers.clear(); // what a follower saw may be gone by now, and nobody would say so
         }
@@ -74,7 +75,7 @@
 
     /** Notes what has fallen silent up to now. */
     void sweep() {
-        workers.sweep(now, lateMs, leading);
+        workers.sweep(now, lateMs);
         boolean many = leading && 2 * workers.suspectCount() >= Math.max(2, workers.count());
         manySuspectSince = !many ? -1 : manySuspectSince >= 0 ? manySuspectSince : now;
     }
--- a/src/main/java/stileferry/connectivity/ProbePlanner.java
+++ b/src/main/java/stileferry/connectivity/ProbePlanner.java
@@ -14,6 +14,9 @@
  * of bounded size, one of each group.
  */
 final class ProbePlanner {
+    /** Single suspects that are asked in one round: most are machines that are gone, which others need not try often. */
+    private static final int FEW = 4;
+
     /** Workers of each group that are asked in one round. */
     static final int SAMPLE = 8;
 
@@ -52,13 +55,14 @@
     /** Plans the next round if it is time; the workers to be asked in it. */
     List<WorkerLink> plan(WorkerLinks links, long now) {
         boolean suspects = links.suspectCount() > 0;
-        long every = suspects ? config.exchangeMs(true) : config.leaseMs() / 2;
+        boolean many = many(links);
+        long every = suspects ? config.exchangeMs(many) : config.leaseMs() / 2;
         if (plannedAt >= 0 && now - plannedAt < every) {
             return List.of();
         }
         plannedAt = now;
-        List<WorkerLink> suspectSample = links.nextSuspects(SAMPLE);
-        int soundWanted = many(links) ? SAMPLE : suspects ? 0 : IDLE_SAMPLE;
+        List<WorkerLink> suspectSample = links.nextSuspects(many ? SAMPLE : FEW);
+        int soundWanted = many ? SAMPLE : suspects ? 0 : IDLE_SAMPLE;
         List<WorkerLink> soundSample = new ArrayList<>(links.nextSound(lastSound, soundWanted));
         if (soundSample.size() < soundWanted) {
             soundSample.addAll(links.nextSound(-1, soundWanted - soundSample.size()));
--- a/src/main/java/stileferry/connectivity/SnapshotWriter.java
+++ b/src/main/java/stileferry/connectivity/SnapshotWriter.java
@@ -32,7 +32,7 @@
                         workers.directCount(),
                         workers.suspectCount(),
                         links.leading() ? control.ownShare() : UNKNOWN,
-                        workers.silenceBoundMs()),
+                        workers.silenceBoundMs(links.now())),
                 control.advise(),
                 new ConnectivitySnapshot.Counters(
                         control.handoversBegun(),
--- a/src/main/java/stileferry/connectivity/WorkerLink.java
+++ b/src/main/java/stileferry/connectivity/WorkerLink.java
@@ -60,6 +60,9 @@
 
     boolean departed;
 
+    /** It is in the set of workers with links that work. */
+    boolean sound;
+
     WorkerLink(String name, String address) {
         this.name = name;
         this.address = address;
--- a/src/main/java/stileferry/connectivity/WorkerLinks.java
+++ b/src/main/java/stileferry/connectivity/WorkerLinks.java
@@ -1,6 +1,7 @@
 package stileferry.connectivity;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -44,6 +45,9 @@
     private int epoch = 1;
     private long lastChange;
     private long suspicions;
+    private boolean kept;
+    private double boundMs;
+    private long boundAt = -1;
 
     WorkerLinks(ConnectivityConfig config) {
         this.config = config;
@@ -166,9 +170,20 @@
         }
     }
 
-    /** Notes who has fallen silent; who is not {@code kept} and of whom nothing is seen any more is forgotten. */
-    void sweep(long now, long lateMs, boolean kept) {
-        double silent = silenceBoundMs() + lateMs;
+    /** Whether workers of which nothing is seen are kept, as a leader keeps all until they are gone. */
+    void keep(boolean all) {
+        kept = all;
+        if (!kept) {
+            byEvidence.clear();
+            byName.values().stream()
+                    .sorted(Comparator.comparingLong(link -> link.evidenceAt))
+                    .forEach(byEvidence::add);
+        }
+    }
+
+    /** Notes who has fallen silent; who is not kept and of whom nothing is seen any more is forgotten. */
+    void sweep(long now, long lateMs) {
+        double silent = silenceBoundMs(now) + lateMs;
         for (Iterator<WorkerLink> oldest = direct.iterator(); oldest.hasNext(); ) {
             WorkerLink link = oldest.next();
             if (now - link.directAt <= silent) {
@@ -206,9 +221,13 @@
         names.forEach(this::gone);
     }
 
-    /** The silence after which a worker is suspect, from the measured intervals of all. */
-    double silenceBoundMs() {
-        return Math.min(config.leaseMs() / 2.0, intervals.silenceMs(LinkObserver.FAILING_SUSPICION));
+    /** The silence after which a worker is suspect, from the measured intervals of all; computed now and then. */
+    double silenceBoundMs(long now) {
+        if (boundAt < 0 || now - boundAt > config.exchangeMs(true)) {
+            boundAt = now;
+            boundMs = Math.min(config.leaseMs() / 2.0, intervals.silenceMs(LinkObserver.FAILING_SUSPICION));
+        }
+        return boundMs;
     }
 
     private WorkerLink link(WorkerReport report, long now) {
@@ -234,7 +253,9 @@
 
     private void seen(WorkerLink link, long now) {
         link.evidenceAt = now;
-        moveToEnd(byEvidence, link);
+        if (!kept) {
+            moveToEnd(byEvidence, link);
+        }
     }
 
     private void examined(WorkerLink link, long now) {
@@ -259,6 +280,10 @@
 
     private void judge(WorkerLink link, long now) {
         boolean works = link.inbound && (link.outbound || !link.examined);
+        if (works && link.sound) {
+            return;
+        }
+        link.sound = works;
         if (works) {
             suspects.remove(link);
             sound.add(link.index);
--- a/src/main/java/stileferry/coordination/ViewExchange.java
+++ b/src/main/java/stileferry/coordination/ViewExchange.java
@@ -1,9 +1,11 @@
 package stileferry.coordination;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -27,7 +29,9 @@
     private final Consumer<ReachabilityView.Header> taken;
     private final Set<String> aware = new LinkedHashSet<>();
     private final Set<String> inFlight = new HashSet<>();
-    private long exchangedAt = Long.MIN_VALUE / 2;
+
+    /** When a view was last sent to a controller by itself. */
+    private final Map<String, Long> sentAt = new HashMap<>();
 
     /** The consumer is told of each view that was taken in. */
     ViewExchange(
@@ -84,24 +88,26 @@
         taken.accept(view.header());
     }
 
-    /** Exchanges views with all when it is time. */
+    /** Exchanges views with those with whom it is time. */
     void ifDue() {
-        if (environment.now() - exchangedAt >= connectivity.exchangeMs()) {
-            withAll();
+        long before = environment.now() - connectivity.exchangeMs();
+        for (Settings.Peer peer : settings.peers()) {
+            if (sentAt.getOrDefault(peer.node(), Long.MIN_VALUE) <= before) {
+                with(peer);
+            }
         }
     }
 
     /** Exchanges views with all now. */
     void withAll() {
-        exchangedAt = environment.now();
-        for (Settings.Peer peer : settings.peers()) {
-            if (aware.contains(peer.node()) && inFlight.add(peer.node())) {
-                with(peer);
-            }
-        }
+        settings.peers().forEach(this::with);
     }
 
     private void with(Settings.Peer peer) {
+        if (!aware.contains(peer.node()) || !inFlight.add(peer.node())) {
+            return;
+        }
+        sentAt.put(peer.node(), environment.now());
         ReachabilityView view = connectivity.viewFor(peer.node(), environment.now());
         environment.peer(peer, new PeerRecord.Links(ViewCodec.write(view)), patienceMs, answer -> {
             inFlight.remove(peer.node());
