--- a/src/main/java/stileferry/connectivity/PeerView.java
+++ b/src/main/java/stileferry/connectivity/PeerView.java
@@ -133,21 +133,11 @@
         return describesAt < 0 ? -1 : now - describesAt;
     }
 
-    /** How many workers it names. */
-    int workers() {
-        return names.size();
-    }
-
-    /** How many of them requests of the sender reach. */
+    /** How many workers requests of the sender reach. */
     int reachedCount() {
         return RoaringBitmap.andCardinality(examined, outbound);
     }
 
-    /** How many of them report straight to the sender. */
-    int inboundCount() {
-        return inbound.getCardinality();
-    }
-
     /** Whether it says anything about requests to a worker. */
     boolean knows(String worker) {
         Integer number = numbers.get(worker);
--- a/src/test/java/stileferry/cli/LoopbackCuts.java
+++ b/src/test/java/stileferry/cli/LoopbackCuts.java
@@ -1,6 +1,5 @@
 package stileferry.cli;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -200,9 +199,4 @@
         // the controllers' networking library must not set up the runtime's management, as in the daemon
         System.setProperty("javax.management.builder.initial", "none");
     }
-
-    /** For tests: a directory that goes with the process. */
-    static Path directory() throws IOException {
-        return Files.createTempDirectory("loopback");
-    }
 }
