--- a/src/main/java/stileferry/cli/StandIns.java
+++ b/src/main/java/stileferry/cli/StandIns.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import stileferry.standin.LinkFaults;
+import stileferry.standin.Worker;
 import stileferry.transport.StandInHost;
 
 /** Runs the stand-ins for state service, cloud and workers, for trying the service out on one computer. */
@@ -68,6 +70,12 @@
 
     /** The same for a fleet of another size. */
     static StandInHost start(int port, Path dir, StandInHost.Size size) throws IOException {
+        return start(port, dir, size, LinkFaults.NONE, Worker.Watcher.NOBODY);
+    }
+
+    /** The same with links that may be broken, and somebody who watches the workers' tasks. */
+    static StandInHost start(int port, Path dir, StandInHost.Size size, LinkFaults faults, Worker.Watcher watcher)
+            throws IOException {
         List<String> clients = new ArrayList<>();
         List<String> names = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
@@ -77,7 +85,7 @@
         for (int i = 0; i < NODES; i++) {
             Files.writeString(dir.resolve("node-" + i + ".json"), settings(port, i, size));
         }
-        return new StandInHost(port, clients, names, size);
+        return new StandInHost(port, clients, names, size, faults, watcher);
     }
 
     private static String settings(int port, int node, StandInHost.Size size) {
--- a/src/main/java/stileferry/coordination/JobEnds.java
+++ b/src/main/java/stileferry/coordination/JobEnds.java
@@ -85,7 +85,7 @@
         ledger.put(job.record, () -> cancelDurable(job));
     }
 
-    /** The outcome of a cancellation is durable; its tasks are stopped, and its user hears of it when that is allowed. */
+    /** A cancellation is durable: the tasks are stopped, and the user hears of it when that is allowed. */
     void cancelDurable(Job job) {
         job.cancelDurable = true;
         stopAll(job);
@@ -100,9 +100,9 @@
     }
 
     /**
-     * Tells a job's user that it is cancelled, once enough controllers know that (whoever renews leases may have to stop
-     * its tasks) and no task of it can begin any more. Found with cuts between the leader and the workers: a stop that
-     * did not arrive let a task begin whose image came after its user had been told.
+     * Tells a job's user that it is cancelled, once enough controllers know that (whoever renews leases may have to
+     * stop its tasks) and no task of it can begin any more. Found with cuts between the leader and the workers: a stop
+     * that did not arrive let a task begin whose image came after its user had been told.
      */
     void confirm(Job job) {
         if (job.cancelKnown && !job.cancelTold && !job.ending && !job.mayBegin()) {
--- a/src/main/java/stileferry/transport/StandInHost.java
+++ b/src/main/java/stileferry/transport/StandInHost.java
@@ -9,11 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
 import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MessageCodec;
 import stileferry.standin.Cloud;
 import stileferry.standin.Gangs;
+import stileferry.standin.LinkFaults;
 import stileferry.standin.StateService;
 import stileferry.standin.Worker;
 
@@ -35,6 +37,14 @@
     /** Addresses of workers in one block of loopback addresses. */
     private static final int BLOCK = 250;
 
+    /** How long a worker waits for an answer, and then until it tries the next controller. */
+    private static final long PATIENCE_MS = 4000;
+
+    private static final long NEXT_CONTROLLER_MS = 1000;
+
+    /** What a slow link adds. */
+    private static final long SLOW_MS = 1500;
+
     private static final byte[] NOTHING = new byte[0];
 
     private final EventLoop loop;
@@ -44,6 +54,8 @@
     private final List<String> names;
     private final StateService state = new StateService(20, 8);
     private final Cloud cloud;
+    private final LinkFaults faults;
+    private final Worker.Watcher watcher;
     private final Map<String, Worker> workers = new HashMap<>();
     private final Gangs gangs = new Gangs(GANG_WAIT_S, GANG_PEER_S);
     private final Undertow server;
@@ -58,6 +70,20 @@
 
     /** Starts the stand-ins for controllers with these client addresses and names. */
     public StandInHost(int port, List<String> controllers, List<String> names, Size size) throws IOException {
+        this(port, controllers, names, size, LinkFaults.NONE, Worker.Watcher.NOBODY);
+    }
+
+    /** Starts them with links that may be broken, and somebody who watches the workers' tasks. */
+    public StandInHost(
+            int port,
+            List<String> controllers,
+            List<String> names,
+            Size size,
+            LinkFaults faults,
+            Worker.Watcher watcher)
+            throws IOException {
+        this.faults = faults;
+        this.watcher = watcher;
         this.port = port;
         this.size = size;
         this.loop = new EventLoop(size.machines());
@@ -104,29 +130,59 @@
         RequestBodies.read(
                 exchange,
                 MessageCodec.MAX_BODY,
-                bytes -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                    JsonNode body = bytes.length == 0 ? MessageCodec.map() : MessageCodec.decode(bytes);
-                    String path = exchange.getRequestPath();
-                    String full = exchange.getQueryString().isEmpty() ? path : path + "?" + exchange.getQueryString();
-                    String method = exchange.getRequestMethod().toString();
-                    Environment.Reply reply = (status, answer) -> UserServer.send(
-                            exchange, status, 0, answer == null ? NOTHING : MessageCodec.encode(answer));
-                    if (path.equals("/commands")) {
-                        String host =
-                                exchange.getDestinationAddress().getAddress().getHostAddress();
-                        Worker worker = workers.get(host + ":" + port);
-                        if (worker == null) {
-                            reply.done(404, null);
-                        } else {
-                            int status = worker.commands(body);
-                            reply.done(status, status == 400 ? null : worker.report());
-                        }
-                    } else if (path.equals("/machine_types") || path.startsWith("/hosts")) {
-                        cloud.request(method, full, body, reply);
-                    } else {
-                        state.request(method, full, body, reply);
-                    }
-                }));
+                bytes -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> takeRequest(exchange, bytes)));
+    }
+
+    /** Carries a request out as far as the link lets it. */
+    private void takeRequest(HttpServerExchange exchange, byte[] bytes) {
+        String source = exchange.getSourceAddress().getAddress().getHostAddress();
+        Worker worker =
+                workers.get(exchange.getDestinationAddress().getAddress().getHostAddress() + ":" + port);
+        String path = exchange.getRequestPath();
+        boolean toWorker = path.equals("/commands") || path.equals("/inspect");
+        boolean toCloud = path.equals("/machine_types") || path.startsWith("/hosts");
+        String to = toCloud ? LinkFaults.CLOUD : !toWorker ? LinkFaults.STATE : worker == null ? "" : worker.machine();
+        Environment.Reply reply = (status, answer) ->
+                UserServer.send(exchange, status, 0, answer == null ? NOTHING : MessageCodec.encode(answer));
+        Runnable request = () -> serve(exchange, bytes, toWorker, toCloud, worker, reply);
+        switch (faults.of(source, to)) {
+            case NONE -> request.run();
+            case REFUSED -> {
+                if (toWorker) {
+                    IoUtils.safeClose(exchange.getConnection());
+                } else {
+                    reply.done(503, null);
+                }
+            }
+            case REQUEST_LOST -> {} // its sender gives up and closes the connection
+            case ANSWER_LOST -> serve(exchange, bytes, toWorker, toCloud, worker, (status, answer) -> {});
+            case SLOW -> loop.thread.executeAfter(request, SLOW_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void serve(
+            HttpServerExchange exchange,
+            byte[] bytes,
+            boolean toWorker,
+            boolean toCloud,
+            Worker worker,
+            Environment.Reply reply) {
+        JsonNode body = bytes.length == 0 ? MessageCodec.map() : MessageCodec.decode(bytes);
+        String path = exchange.getRequestPath();
+        String full = exchange.getQueryString().isEmpty() ? path : path + "?" + exchange.getQueryString();
+        String method = exchange.getRequestMethod().toString();
+        if (toWorker && worker == null) {
+            reply.done(404, null);
+        } else if (path.equals("/inspect")) {
+            reply.done(200, worker.report());
+        } else if (toWorker) {
+            int status = worker.commands(body);
+            reply.done(status, status == 400 ? null : worker.report());
+        } else if (toCloud) {
+            cloud.request(method, full, body, reply);
+        } else {
+            state.request(method, full, body, reply);
+        }
     }
 
     private Worker boot(String machine, String place) {
@@ -143,7 +199,7 @@
                 size.leaseMs(),
                 now(),
                 this::job,
-                Worker.Watcher.NOBODY,
+                watcher,
                 gangs);
         workers.put(addr, worker);
         report(worker, 0);
@@ -168,6 +224,21 @@
         if (closed || workers.get(worker.addr()) != worker) {
             return;
         }
+        LinkFaults.Effect effect = faults.of(worker.machine(), names.get(to));
+        switch (effect) {
+            case NONE -> send(worker, to, false);
+            case REFUSED -> later(NEXT_CONTROLLER_MS, worker, next(to));
+            case REQUEST_LOST -> later(PATIENCE_MS + NEXT_CONTROLLER_MS, worker, next(to));
+            case ANSWER_LOST -> send(worker, to, true);
+            case SLOW -> loop.thread.executeAfter(() -> send(worker, to, false), SLOW_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private int next(int controller) {
+        return (controller + 1) % controllers.size();
+    }
+
+    private void send(Worker worker, int to, boolean answerLost) {
         long sentAt = now();
         long session = worker.session();
         loop.http.call(
@@ -175,19 +246,21 @@
                 "POST",
                 "/v1/report",
                 MessageCodec.encode(worker.report()),
-                4000,
+                PATIENCE_MS,
                 (status, bytes) -> {
                     JsonNode body = bytes.length == 0 ? null : MessageCodec.decode(bytes);
                     int named = body == null
                             ? -1
                             : names.indexOf(body.path("harbormaster").asText());
-                    if (status == 200) {
+                    if (answerLost) {
+                        later(PATIENCE_MS + NEXT_CONTROLLER_MS, worker, next(to));
+                    } else if (status == 200) {
                         worker.answered(body, session, sentAt);
                         later(size.reportMs(), worker, to);
                     } else if (status == 421 && named >= 0 && named != to) {
                         later(BEAT_MS, worker, named);
                     } else {
-                        later(1000, worker, (to + 1) % controllers.size());
+                        later(NEXT_CONTROLLER_MS, worker, next(to));
                     }
                 });
     }
--- /dev/null
+++ b/src/test/java/stileferry/cli/LinkRelay.java
@@ -0,0 +1,111 @@
+package stileferry.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import stileferry.standin.LinkFaults.Effect;
+
+/** A relay between one controller and another, which breaks the link on demand. */
+final class LinkRelay implements AutoCloseable {
+    private static final long SLOW_MS = 1500;
+
+    private final ServerSocket server;
+    private final InetSocketAddress target;
+    private final Supplier<Effect> effect;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
+    /** A relay to the target; the effect is looked at for each piece of data. */
+    LinkRelay(InetSocketAddress target, Supplier<Effect> effect) throws IOException {
+        this.target = target;
+        this.effect = effect;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        start(this::accept);
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "relay");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket client = server.accept();
+                if (effect.get() == Effect.REFUSED) {
+                    client.close();
+                } else {
+                    connect(client);
+                }
+            }
+        } catch (IOException e) {
+            // closed
+        }
+    }
+
+    private void connect(Socket client) throws IOException {
+        Socket other = new Socket();
+        open.add(client);
+        open.add(other);
+        try {
+            other.connect(target, 500);
+        } catch (IOException e) {
+            client.close();
+            return;
+        }
+        start(() -> pump(client, other, Effect.REQUEST_LOST));
+        start(() -> pump(other, client, Effect.ANSWER_LOST));
+    }
+
+    private void pump(Socket from, Socket to, Effect loses) {
+        byte[] buffer = new byte[8192];
+        try (InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream()) {
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                Effect now = effect.get();
+                if (now == Effect.SLOW) {
+                    Thread.sleep(SLOW_MS);
+                }
+                if (now != loses) {
+                    out.write(buffer, 0, n);
+                }
+            }
+        } catch (IOException e) {
+            // one side has closed
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            open.remove(from);
+            open.remove(to);
+        }
+    }
+
+    /** Ends all connections, as those with a part of a message lost are of no use. */
+    void reset() {
+        for (Socket socket : open) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // closed already
+            }
+        }
+        open.clear();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        reset();
+    }
+}
--- /dev/null
+++ b/src/test/java/stileferry/cli/LoopbackCluster.java
@@ -0,0 +1,276 @@
+package stileferry.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import stileferry.Controller;
+import stileferry.protocol.Features;
+import stileferry.protocol.JobSpec;
+import stileferry.protocol.MessageCodec;
+import stileferry.protocol.Settings;
+import stileferry.standin.LinkFaults;
+import stileferry.transport.StandInHost;
+import stileferry.transport.UserClient;
+
+/**
+ * Three real controllers on loopback with stand-ins for all they talk to, and every link between them in hand: links to
+ * stand-ins are told apart by the controllers' source addresses, links between controllers go through relays.
+ */
+final class LoopbackCluster implements AutoCloseable, LinkFaults {
+    static final long REPORT_MS = 1000;
+    static final long LEASE_MS = 14_000;
+    static final double RED_LIMIT = 24;
+    private static final int CONTROLLERS = 3;
+    private static final int MACHINES = 16;
+    private static final byte[] NOTHING = new byte[0];
+
+    final TaskHistory history = new TaskHistory();
+    final List<String> problems = new ArrayList<>();
+    private final int port;
+    private final StandInHost standIns;
+    private final Controller[] controllers = new Controller[CONTROLLERS];
+    private final UserClient[] askEach = new UserClient[CONTROLLERS];
+    private final UserClient users;
+    private final List<LinkRelay> relays = new ArrayList<>();
+    private final Set<Cut> cuts = ConcurrentHashMap.newKeySet();
+    private final Map<String, Double> limited = new HashMap<>();
+    private final List<String> services = new ArrayList<>();
+    private final List<String> arrays = new ArrayList<>();
+    private int jobs;
+
+    /** One broken direction: requests that match. */
+    record Cut(Predicate<String> from, Predicate<String> to, Effect effect) {}
+
+    LoopbackCluster(Path dir, Features features) throws Exception {
+        port = Ports.free(7);
+        StandInHost.Size size = new StandInHost.Size(MACHINES, REPORT_MS, LEASE_MS);
+        standIns = StandIns.start(port, dir, size, this, history);
+        List<String> addrs = new ArrayList<>();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            addrs.add("127.0.0.1:" + (port + 1 + i));
+            askEach[i] = new UserClient(List.of(addrs.get(i)));
+            controllers[i] = Controller.builder()
+                    .settings(settings(dir, i))
+                    .features(features)
+                    .sourceAddress(InetAddress.getByName(source(i)))
+                    .build();
+            controllers[i].start();
+        }
+        users = new UserClient(addrs);
+    }
+
+    private static String source(int controller) {
+        return "127.0.0." + (11 + controller);
+    }
+
+    static String name(int controller) {
+        return "node-" + controller;
+    }
+
+    /** The settings of a controller, with relays in the place of the others. */
+    private Settings settings(Path dir, int controller) throws IOException {
+        Path file = dir.resolve(name(controller) + ".json");
+        String text = Files.readString(file);
+        for (int other = 0; other < CONTROLLERS; other++) {
+            if (other != controller) {
+                int peerPort = port + 1 + CONTROLLERS + other;
+                String to = name(other);
+                LinkRelay relay =
+                        new LinkRelay(new InetSocketAddress("127.0.0.1", peerPort), () -> of(source(controller), to));
+                relays.add(relay);
+                text = text.replace(
+                        "\"peer_addr\": \"127.0.0.1:" + peerPort, "\"peer_addr\": \"127.0.0.1:" + relay.port());
+            }
+        }
+        Files.writeString(file, text);
+        return SettingsFile.read(file).settings();
+    }
+
+    // ---- links
+
+    @Override
+    public Effect of(String from, String to) {
+        for (Cut cut : cuts) {
+            if (cut.from.test(from) && cut.to.test(to)) {
+                return cut.effect;
+            }
+        }
+        return Effect.NONE;
+    }
+
+    /** Requests of a controller, whoever it is to. */
+    static Predicate<String> from(int controller) {
+        return source(controller)::equals;
+    }
+
+    /** Requests to a controller. */
+    static Predicate<String> to(int controller) {
+        return name(controller)::equals;
+    }
+
+    /** A worker, as it sends or is sent something. */
+    static Predicate<String> workers() {
+        return name -> name.startsWith("host-");
+    }
+
+    static Predicate<String> halfOfTheWorkers() {
+        return name -> name.startsWith("host-") && (name.charAt(name.length() - 1) - '0') % 2 == 0;
+    }
+
+    void cut(Predicate<String> from, Predicate<String> to, Effect effect) {
+        cuts.add(new Cut(from, to, effect));
+        relays.forEach(LinkRelay::reset);
+    }
+
+    void restore() {
+        cuts.clear();
+        relays.forEach(LinkRelay::reset);
+    }
+
+    // ---- what is asked
+
+    /** Who leads, as most controllers say; -1: none does. */
+    int leader() throws InterruptedException {
+        int[] votes = new int[CONTROLLERS];
+        for (UserClient client : askEach) {
+            JsonNode body = client.once("GET", "/admin/counters", NOTHING).body();
+            String named = body == null ? "" : body.path("leader").asText();
+            for (int i = 0; i < CONTROLLERS; i++) {
+                votes[i] += name(i).equals(named) ? 1 : 0;
+            }
+        }
+        for (int i = 0; i < CONTROLLERS; i++) {
+            if (votes[i] > CONTROLLERS / 2) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    int awaitLeader(long ms) throws InterruptedException {
+        long until = System.currentTimeMillis() + ms;
+        int leader = leader();
+        while (leader < 0 && System.currentTimeMillis() < until) {
+            Thread.sleep(100);
+            leader = leader();
+        }
+        return leader;
+    }
+
+    JsonNode links(int controller) throws InterruptedException {
+        return askEach[controller].once("GET", "/admin/links", NOTHING).body();
+    }
+
+    private String submit(JobSpec.Kind kind, String team, int tasks, double runS) throws InterruptedException {
+        String id = "job-" + (1000 + jobs++);
+        JobSpec spec = new JobSpec(
+                id,
+                "any",
+                team,
+                kind,
+                kind == JobSpec.Kind.SERVICE ? JobSpec.Priority.CRITICAL : JobSpec.Priority.NORMAL,
+                tasks,
+                2,
+                0,
+                1,
+                "img",
+                0.1,
+                null,
+                null,
+                false,
+                false,
+                kind != JobSpec.Kind.SERVICE,
+                runS,
+                0,
+                0,
+                -1);
+        int status = users.ask("POST", "/work", MessageCodec.encode(spec.write()), 60_000)
+                .status();
+        if (status == 201 || status == 200) {
+            (kind == JobSpec.Kind.SERVICE ? services : arrays).add(id);
+            if (team.equals("red")) {
+                limited.put(id, 2.0);
+            }
+            return id;
+        }
+        return null;
+    }
+
+    String service(int tasks) throws InterruptedException {
+        return submit(JobSpec.Kind.SERVICE, "blue", tasks, 0);
+    }
+
+    String array(int tasks, double runS) throws InterruptedException {
+        return submit(JobSpec.Kind.ARRAY, "red", tasks, runS);
+    }
+
+    /** Waits until all arrays are done and all services run whole; false: not in time. */
+    boolean settle(long ms) throws InterruptedException {
+        long until = System.currentTimeMillis() + ms;
+        while (System.currentTimeMillis() < until) {
+            boolean servicesRun = services.stream().allMatch(id -> history.running(id) == 2);
+            if (servicesRun && arraysDone()) {
+                return true;
+            }
+            Thread.sleep(200);
+        }
+        return false;
+    }
+
+    private boolean arraysDone() throws InterruptedException {
+        for (String id : List.copyOf(arrays)) {
+            UserClient.Answer answer = users.once("GET", "/work/" + id, NOTHING);
+            if (answer.status() == 404) {
+                problems.add(id + " was accepted and is unknown");
+            }
+            if (answer.status() != 200 || !answer.body().path("tide").asText().equals("done")) {
+                return false;
+            }
+            arrays.remove(id);
+        }
+        return true;
+    }
+
+    /** All that is wrong up to now. */
+    List<String> check() {
+        List<String> all = new ArrayList<>(problems);
+        all.addAll(history.problems(limited, RED_LIMIT));
+        return all;
+    }
+
+    /** The longest time without a begin or an end of a task since then, in milliseconds. */
+    long longestRest(long sinceMs) {
+        long last = sinceMs;
+        long most = 0;
+        for (TaskHistory.Entry entry : history.entries()) {
+            if (entry.atMs() >= sinceMs) {
+                most = Math.max(most, entry.atMs() - last);
+                last = entry.atMs();
+            }
+        }
+        return Math.max(most, System.nanoTime() / 1_000_000 - last);
+    }
+
+    @Override
+    public void close() throws Exception {
+        users.close();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            askEach[i].close();
+            controllers[i].close();
+        }
+        for (LinkRelay relay : relays) {
+            relay.close();
+        }
+        standIns.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/stileferry/cli/LoopbackCuts.java
@@ -0,0 +1,208 @@
+package stileferry.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import stileferry.protocol.Features;
+import stileferry.standin.LinkFaults.Effect;
+import stileferry.transport.LogLevel;
+
+/**
+ * Cuts each link between real controllers, workers and state service in turn, in each direction and way, then pairs of
+ * links, and checks the workers' own histories. As a command it plays the whole matrix:
+ * {@code java -cp target/stileferry.jar:target/test-classes stileferry.cli.LoopbackCuts [on|off]}.
+ */
+final class LoopbackCuts {
+    private static final long CUT_MS = 10_000;
+    private static final long SETTLE_MS = 40_000;
+    private static final int CLUSTERS = 4;
+
+    private LoopbackCuts() {}
+
+    /** Which link is cut; the leader and a follower are those at the time of the cut. */
+    enum Link {
+        LEADER_TO_STATE {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(LoopbackCluster.from(leader), "state"::equals, effect);
+            }
+        },
+        LEADER_TO_WORKERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(LoopbackCluster.from(leader), LoopbackCluster.workers(), effect);
+            }
+        },
+        WORKERS_TO_LEADER {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(LoopbackCluster.workers(), LoopbackCluster.to(leader), effect);
+            }
+        },
+        LEADER_AND_WORKERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                LEADER_TO_WORKERS.cut(cluster, leader, effect);
+                WORKERS_TO_LEADER.cut(cluster, leader, effect);
+            }
+        },
+        LEADER_AND_HALF_OF_THE_WORKERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(LoopbackCluster.from(leader), LoopbackCluster.halfOfTheWorkers(), effect);
+                cluster.cut(LoopbackCluster.halfOfTheWorkers(), LoopbackCluster.to(leader), effect);
+            }
+        },
+        LEADER_TO_CONTROLLERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(LoopbackCluster.from(leader), name -> name.startsWith("node-"), effect);
+            }
+        },
+        CONTROLLERS_TO_LEADER {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(name -> name.startsWith("127."), LoopbackCluster.to(leader), effect);
+            }
+        },
+        ALL_CONTROLLERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(name -> name.startsWith("127."), name -> name.startsWith("node-"), effect);
+            }
+        },
+        FOLLOWER_TO_STATE {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                cluster.cut(LoopbackCluster.from((leader + 1) % 3), "state"::equals, effect);
+            }
+        },
+        FOLLOWER_AND_WORKERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                LEADER_AND_WORKERS.cut(cluster, (leader + 1) % 3, effect);
+            }
+        },
+        // pairs
+        LEADER_AND_WORKERS_AND_CONTROLLERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                LEADER_AND_WORKERS.cut(cluster, leader, effect);
+                LEADER_TO_CONTROLLERS.cut(cluster, leader, effect);
+                CONTROLLERS_TO_LEADER.cut(cluster, leader, effect);
+            }
+        },
+        LEADER_TO_STATE_AND_CONTROLLERS {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                LEADER_TO_STATE.cut(cluster, leader, effect);
+                LEADER_TO_CONTROLLERS.cut(cluster, leader, effect);
+                CONTROLLERS_TO_LEADER.cut(cluster, leader, effect);
+            }
+        },
+        LEADER_AND_WORKERS_FOLLOWER_TO_STATE {
+            @Override
+            void cut(LoopbackCluster cluster, int leader, Effect effect) {
+                LEADER_AND_WORKERS.cut(cluster, leader, effect);
+                FOLLOWER_TO_STATE.cut(cluster, leader, effect);
+            }
+        };
+
+        abstract void cut(LoopbackCluster cluster, int leader, Effect effect);
+    }
+
+    /**
+     * What a case showed.
+     *
+     * @param problems rules that were broken; empty: none
+     * @param restMs the longest time in which no task began or ended, while work was waiting
+     * @param handedOver whether another controller led after the cut
+     */
+    record Result(Link link, Effect effect, List<String> problems, long restMs, boolean handedOver) {}
+
+    /** Plays one case in a cluster where all is well. */
+    static Result play(LoopbackCluster cluster, Link link, Effect effect, long cutMs) throws InterruptedException {
+        int leader = cluster.awaitLeader(20_000);
+        if (leader < 0) {
+            return new Result(link, effect, List.of("nobody leads"), 0, false);
+        }
+        long from = System.nanoTime() / 1_000_000;
+        long until = from + cutMs;
+        link.cut(cluster, leader, effect);
+        while (System.nanoTime() / 1_000_000 < until) {
+            cluster.array(2, 0.5);
+            Thread.sleep(400);
+        }
+        long restMs = cluster.longestRest(from);
+        int after = cluster.leader();
+        cluster.restore();
+        boolean settled = cluster.settle(SETTLE_MS);
+        List<String> problems = new ArrayList<>(cluster.check());
+        if (!settled) {
+            problems.add("work is left");
+        }
+        return new Result(link, effect, problems, restMs, after >= 0 && after != leader);
+    }
+
+    /** Plays cases one after the other in one cluster. */
+    static List<Result> playAll(List<Link> links, List<Effect> effects, Features features, long cutMs)
+            throws Exception {
+        List<Result> results = new ArrayList<>();
+        Path dir = Files.createTempDirectory("loopback");
+        try (LoopbackCluster cluster = new LoopbackCluster(dir, features)) {
+            cluster.awaitLeader(20_000);
+            cluster.service(2);
+            cluster.service(2);
+            cluster.settle(SETTLE_MS);
+            for (Link link : links) {
+                for (Effect effect : effects) {
+                    results.add(play(cluster, link, effect, cutMs));
+                }
+            }
+        }
+        return results;
+    }
+
+    /** Plays the whole matrix, a few clusters at a time, and ends with 1 if a rule was broken. */
+    public static void main(String[] args) throws Exception {
+        LogLevel.start("error");
+        Features features = new Features(args.length == 0 || args[0].equals("on"));
+        List<Effect> effects = List.of(Effect.REFUSED, Effect.REQUEST_LOST, Effect.ANSWER_LOST, Effect.SLOW);
+        ExecutorService pool = Executors.newFixedThreadPool(CLUSTERS);
+        List<Future<List<Result>>> running = new ArrayList<>();
+        for (Link link : Link.values()) {
+            running.add(pool.submit(() -> playAll(List.of(link), effects, features, CUT_MS)));
+        }
+        pool.shutdown();
+        boolean broken = false;
+        System.out.println("features " + features.on() + ", cuts of " + CUT_MS / 1000 + " s");
+        for (Future<List<Result>> future : running) {
+            for (Result result : future.get()) {
+                broken |= !result.problems.isEmpty();
+                System.out.printf(
+                        "%-40s %-13s rest %5.1f s %-13s %s%n",
+                        result.link,
+                        result.effect,
+                        result.restMs / 1000.0,
+                        result.handedOver ? "another leads" : "",
+                        result.problems.isEmpty() ? "ok" : result.problems);
+            }
+        }
+        System.exit(broken ? 1 : 0);
+    }
+
+    static {
+        // the controllers' networking library must not set up the runtime's management, as in the daemon
+        System.setProperty("javax.management.builder.initial", "none");
+    }
+
+    /** For tests: a directory that goes with the process. */
+    static Path directory() throws IOException {
+        return Files.createTempDirectory("loopback");
+    }
+}
--- /dev/null
+++ b/src/test/java/stileferry/cli/LoopbackCutsTest.java
@@ -0,0 +1,54 @@
+package stileferry.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import stileferry.cli.LoopbackCuts.Link;
+import stileferry.cli.LoopbackCuts.Result;
+import stileferry.protocol.Features;
+import stileferry.standin.LinkFaults.Effect;
+
+/**
+ * Real controllers with links that are cut: a part of the matrix of {@link LoopbackCuts}, with cuts of 7 s instead of
+ * 10 s, so that it fits into CI.
+ */
+class LoopbackCutsTest {
+    private static final long CUT_MS = 7000;
+
+    private static void play(List<Link> links, Effect effect) throws Exception {
+        for (Result result : LoopbackCuts.playAll(links, List.of(effect), new Features(true), CUT_MS)) {
+            assertEquals(List.of(), result.problems(), result.toString());
+        }
+    }
+
+    @Test
+    void theLeaderLosesTheWorkersOrTheStateService() throws Exception {
+        play(List.of(Link.LEADER_AND_WORKERS, Link.LEADER_TO_STATE), Effect.REQUEST_LOST);
+    }
+
+    @Test
+    void controllersAreCutFromOneAnother() throws Exception {
+        play(List.of(Link.ALL_CONTROLLERS, Link.LEADER_AND_WORKERS_AND_CONTROLLERS), Effect.REFUSED);
+    }
+
+    @Test
+    void answersAreLost() throws Exception {
+        play(List.of(Link.WORKERS_TO_LEADER), Effect.ANSWER_LOST);
+    }
+
+    /** The check of the histories must be able to fail. */
+    @Test
+    void aTaskAtTwoPlacesAndALimitPassedAreSeen() {
+        TaskHistory history = new TaskHistory();
+        history.add(new TaskHistory.Entry(1, "job-1/0", "host-1", true));
+        history.add(new TaskHistory.Entry(2, "job-1/1", "host-2", true));
+        assertEquals(List.of(), history.problems(Map.of("job-1", 2.0), 4));
+        history.add(new TaskHistory.Entry(3, "job-1/0", "host-2", true));
+        List<String> problems = history.problems(Map.of("job-1", 2.0), 4);
+        assertTrue(problems.contains("job-1/0 on host-1 and host-2"), problems.toString());
+        assertTrue(problems.stream().anyMatch(p -> p.contains("6.0 CPUs")), problems.toString());
+    }
+}
