--- a/src/main/java/stileferry/admission/AdmissionCodec.java
+++ b/src/main/java/stileferry/admission/AdmissionCodec.java
@@ -12,6 +12,7 @@
 import org.apache.datasketches.common.SketchesException;
 import org.apache.datasketches.memory.Memory;
 import org.apache.datasketches.theta.CompactSketch;
+import stileferry.validation.InvalidInputException;
 
 /**
  * What controllers exchange about admission, as {@link DataOutputStream} records that begin with a version. A report of
@@ -49,12 +50,12 @@
     private static <T> T parse(byte[] bytes, String argument, Reader<T> reader) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
             int version = in.readUnsignedByte();
-            InvalidAdmissionInputException.require(version == VERSION, argument, "of version " + version);
+            InvalidInputException.require(version == VERSION, argument, "of version " + version);
             T read = reader.read(in);
-            InvalidAdmissionInputException.require(in.available() == 0, argument, "goes on after its end");
+            InvalidInputException.require(in.available() == 0, argument, "goes on after its end");
             return read;
         } catch (IOException | SketchesException | IndexOutOfBoundsException e) {
-            throw new InvalidAdmissionInputException(argument, "malformed: " + e.getMessage());
+            throw new InvalidInputException(argument, "malformed: " + e.getMessage());
         }
     }
 
--- a/src/main/java/stileferry/admission/AdmissionConfig.java
+++ b/src/main/java/stileferry/admission/AdmissionConfig.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import stileferry.validation.InvalidInputException;
 
 /**
  * What is fixed for one deployment. Everything else in this package is a ratio to these figures or to the users'
@@ -33,16 +34,16 @@
 
     /** Checks every figure. */
     public AdmissionConfig {
-        InvalidAdmissionInputException.require(weights != null, "weights", "missing");
+        InvalidInputException.require(weights != null, "weights", "missing");
         for (Map.Entry<String, Double> weight : weights.entrySet()) {
-            InvalidAdmissionInputException.require(
+            InvalidInputException.require(
                     isPositive(weight.getValue()), "weights", weight.getKey() + " must be above 0");
         }
         weights = Map.copyOf(weights);
-        InvalidAdmissionInputException.require(classes != null, "classes", "missing");
+        InvalidInputException.require(classes != null, "classes", "missing");
         classes = Set.copyOf(classes);
-        InvalidAdmissionInputException.require(intervalMs > 0, "intervalMs", "must be above 0");
-        InvalidAdmissionInputException.require(isPositive(mostPerS), "mostPerS", "must be above 0");
+        InvalidInputException.require(intervalMs > 0, "intervalMs", "must be above 0");
+        InvalidInputException.require(isPositive(mostPerS), "mostPerS", "must be above 0");
     }
 
     private static boolean isPositive(Double figure) {
--- a/src/main/java/stileferry/admission/AdmissionController.java
+++ b/src/main/java/stileferry/admission/AdmissionController.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import stileferry.validation.InvalidInputException;
 
 /**
  * The leader's decisions in one term: who is admitted now and who waits for how long. The only place where anything is
@@ -33,9 +34,8 @@
      * @param lastAgeS seconds since that table was made
      */
     public AdmissionController(AdmissionConfig config, long term, TurnTable last, double lastAgeS) {
-        InvalidAdmissionInputException.require(config != null, "config", "missing");
-        InvalidAdmissionInputException.require(
-                last == null || last.term() < term, "last", "not of a term before " + term);
+        InvalidInputException.require(config != null, "config", "missing");
+        InvalidInputException.require(last == null || last.term() < term, "last", "not of a term before " + term);
         this.config = config;
         this.term = term;
         this.meter = new DemandMeter(config);
--- a/src/main/java/stileferry/admission/AdmissionCounts.java
+++ b/src/main/java/stileferry/admission/AdmissionCounts.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import stileferry.validation.InvalidInputException;
 
 /** Admissions by team and class; all figures only grow. */
 public final class AdmissionCounts {
@@ -10,8 +11,8 @@
     public record Cell(String team, String jobClass) implements Comparable<Cell> {
         /** Checks that nothing is missing. */
         public Cell {
-            InvalidAdmissionInputException.require(team != null, "team", "missing");
-            InvalidAdmissionInputException.require(jobClass != null, "jobClass", "missing");
+            InvalidInputException.require(team != null, "team", "missing");
+            InvalidInputException.require(jobClass != null, "jobClass", "missing");
         }
 
         /** The cell in which a flow's admissions are counted. */
@@ -30,7 +31,7 @@
 
     /** Adds admissions; the number is above 0. */
     public void add(Cell cell, long number) {
-        InvalidAdmissionInputException.require(number > 0, "number", "not above 0: " + number);
+        InvalidInputException.require(number > 0, "number", "not above 0: " + number);
         counts.merge(cell, number, Math::addExact);
     }
 
--- a/src/main/java/stileferry/admission/AdmissionDoor.java
+++ b/src/main/java/stileferry/admission/AdmissionDoor.java
@@ -2,6 +2,7 @@
 
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
+import stileferry.validation.InvalidInputException;
 
 /**
  * One controller's door. By the leader's last table it turns requests away whose turn it is not, without asking
@@ -34,8 +35,8 @@
      *     as many whose turn has come
      */
     public AdmissionDoor(AdmissionConfig config, int remembered) {
-        InvalidAdmissionInputException.require(config != null, "config", "missing");
-        InvalidAdmissionInputException.require(remembered > 0, "remembered", "not above 0: " + remembered);
+        InvalidInputException.require(config != null, "config", "missing");
+        InvalidInputException.require(remembered > 0, "remembered", "not above 0: " + remembered);
         this.config = config;
         this.meter = new DemandMeter(config);
         this.known = cache(remembered);
@@ -53,7 +54,7 @@
 
     /** Takes in a table that was asked for at one moment and received at another; older ones change nothing. */
     public void take(TurnTable newer, long askedAt, long now) {
-        InvalidAdmissionInputException.require(askedAt <= now, "askedAt", "after now");
+        InvalidInputException.require(askedAt <= now, "askedAt", "after now");
         if (newer.term() < term || table != null && !newer.isAfter(table)) {
             return;
         }
--- a/src/main/java/stileferry/admission/Flow.java
+++ b/src/main/java/stileferry/admission/Flow.java
@@ -1,6 +1,7 @@
 package stileferry.admission;
 
 import java.util.Comparator;
+import stileferry.validation.InvalidInputException;
 
 /**
  * The jobs of one class that one team submits at one priority: what demand, shares and turns are kept for.
@@ -15,9 +16,9 @@
 
     /** Checks that nothing is missing. */
     public Flow {
-        InvalidAdmissionInputException.require(team != null && !team.isEmpty(), "team", "missing or empty");
-        InvalidAdmissionInputException.require(jobClass != null, "jobClass", "missing");
-        InvalidAdmissionInputException.require(tier >= 0, "tier", "negative: " + tier);
+        InvalidInputException.require(team != null && !team.isEmpty(), "team", "missing or empty");
+        InvalidInputException.require(jobClass != null, "jobClass", "missing");
+        InvalidInputException.require(tier >= 0, "tier", "negative: " + tier);
     }
 
     @Override
--- a/src/main/java/stileferry/admission/ShareAllocator.java
+++ b/src/main/java/stileferry/admission/ShareAllocator.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import stileferry.validation.InvalidInputException;
 
 /**
  * Divides a capacity among flows: tiers in strict order, with a floor for each tier below that has demand; within a
@@ -41,9 +42,9 @@
      */
     public static SortedMap<Flow, Double> allocate(
             double capacity, Map<Flow, Double> demands, Map<String, Double> weights) {
-        InvalidAdmissionInputException.require(capacity >= 0, "capacity", "negative or not a number: " + capacity);
-        demands.forEach((flow, demand) ->
-                InvalidAdmissionInputException.require(demand >= 0, "demands", flow + " asks for " + demand));
+        InvalidInputException.require(capacity >= 0, "capacity", "negative or not a number: " + capacity);
+        demands.forEach(
+                (flow, demand) -> InvalidInputException.require(demand >= 0, "demands", flow + " asks for " + demand));
         SortedMap<Integer, SortedMap<Flow, Double>> tiers = new TreeMap<>();
         new TreeMap<>(demands).forEach((flow, demand) -> tiers.computeIfAbsent(flow.tier(), t -> new TreeMap<>())
                 .put(flow, demand));
--- a/src/main/java/stileferry/admission/Turn.java
+++ b/src/main/java/stileferry/admission/Turn.java
@@ -1,5 +1,7 @@
 package stileferry.admission;
 
+import stileferry.validation.InvalidInputException;
+
 /**
  * Whose turn it is in one flow: a pointer goes round a circle on which every job has a place. A job's turn begins when
  * the pointer reaches its place and lasts {@link AdmissionConfig#TURN_S}; so everybody's turn comes once a round.
@@ -13,8 +15,8 @@
 
     /** Checks both figures. */
     public Turn {
-        InvalidAdmissionInputException.require(position >= 0 && position < 1, "position", "not in [0, 1): " + position);
-        InvalidAdmissionInputException.require(
+        InvalidInputException.require(position >= 0 && position < 1, "position", "not in [0, 1): " + position);
+        InvalidInputException.require(
                 roundsPerS > 0 && roundsPerS < OPEN, "roundsPerS", "not between 0 and " + OPEN + ": " + roundsPerS);
     }
 
--- a/src/main/java/stileferry/admission/TurnTable.java
+++ b/src/main/java/stileferry/admission/TurnTable.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import stileferry.validation.InvalidInputException;
 
 /**
  * Whose turn it is, as the leader of one term says. Flows that are not named are open.
@@ -14,8 +15,8 @@
 public record TurnTable(long term, long sequence, SortedMap<Flow, Turn> turns) {
     /** Copies the map and checks the numbers. */
     public TurnTable {
-        InvalidAdmissionInputException.require(term > 0, "term", "not above 0: " + term);
-        InvalidAdmissionInputException.require(sequence > 0, "sequence", "not above 0: " + sequence);
+        InvalidInputException.require(term > 0, "term", "not above 0: " + term);
+        InvalidInputException.require(sequence > 0, "sequence", "not above 0: " + sequence);
         turns = java.util.Collections.unmodifiableSortedMap(new TreeMap<>(turns));
     }
 
--- a/src/main/java/stileferry/connectivity/Connectivity.java
+++ b/src/main/java/stileferry/connectivity/Connectivity.java
@@ -1,8 +1,8 @@
 package stileferry.connectivity;
 
-import static stileferry.connectivity.InvalidInputException.require;
-import static stileferry.connectivity.InvalidInputException.requireName;
-import static stileferry.connectivity.InvalidInputException.requireTime;
+import static stileferry.validation.InvalidInputException.require;
+import static stileferry.validation.InvalidInputException.requireName;
+import static stileferry.validation.InvalidInputException.requireTime;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -15,7 +15,7 @@
  * What one controller knows of all links, and what follows from it. A host program tells it what it sees, with the time
  * of a steady clock in milliseconds, carries its views to the other controllers and back, and asks it for advice.
  *
- * <p>Not safe for use by several threads. Input that can't be right throws {@link InvalidInputException} and changes
+ * <p>Not safe for use by several threads. Input that can't be right throws {@code InvalidInputException} and changes
  * nothing. A time before the last one counts as the last one.
  */
 public final class Connectivity {
--- a/src/main/java/stileferry/connectivity/ConnectivityConfig.java
+++ b/src/main/java/stileferry/connectivity/ConnectivityConfig.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import stileferry.validation.InvalidInputException;
 
 /**
  * What the times of one deployment are. Everything else in this package is a ratio to them.
--- a/src/main/java/stileferry/connectivity/DecisionGate.java
+++ b/src/main/java/stileferry/connectivity/DecisionGate.java
@@ -1,5 +1,7 @@
 package stileferry.connectivity;
 
+import stileferry.validation.InvalidInputException;
+
 /**
  * Which links a decision needs. It only ever withholds what would be allowed without it: whether this controller is
  * sure to lead, and what is proven of a task, is for others to say.
--- a/src/main/java/stileferry/connectivity/ObservedLinks.java
+++ b/src/main/java/stileferry/connectivity/ObservedLinks.java
@@ -1,6 +1,6 @@
 package stileferry.connectivity;
 
-import static stileferry.connectivity.InvalidInputException.requireTime;
+import static stileferry.validation.InvalidInputException.requireTime;
 
 import stileferry.connectivity.ReachabilityView.Standing;
 
--- a/src/main/java/stileferry/connectivity/Peers.java
+++ b/src/main/java/stileferry/connectivity/Peers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import stileferry.connectivity.ReachabilityView.Header;
+import stileferry.validation.InvalidInputException;
 
 /** The links to the other controllers and what they said, with what they have seen of this one. */
 final class Peers {
--- a/src/main/java/stileferry/connectivity/ReachabilityView.java
+++ b/src/main/java/stileferry/connectivity/ReachabilityView.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.roaringbitmap.RoaringBitmap;
+import stileferry.validation.InvalidInputException;
 
 /**
  * What one controller tells another one of its links. It holds what changed since the last change that the receiver has
--- a/src/main/java/stileferry/connectivity/Suitability.java
+++ b/src/main/java/stileferry/connectivity/Suitability.java
@@ -1,6 +1,7 @@
 package stileferry.connectivity;
 
 import java.util.Comparator;
+import stileferry.validation.InvalidInputException;
 
 /**
  * How well a controller could lead. The order is total: the state service first, then the workers that it reaches, then
--- a/src/main/java/stileferry/connectivity/ViewCodec.java
+++ b/src/main/java/stileferry/connectivity/ViewCodec.java
@@ -14,6 +14,7 @@
 import stileferry.connectivity.ReachabilityView.ProbeTarget;
 import stileferry.connectivity.ReachabilityView.Standing;
 import stileferry.connectivity.ReachabilityView.WorkerChanges;
+import stileferry.validation.InvalidInputException;
 
 /** Views as bytes. What follows the known fields is not looked at, so later versions may add to them. */
 public final class ViewCodec {
--- a/src/main/java/stileferry/connectivity/WorkerReport.java
+++ b/src/main/java/stileferry/connectivity/WorkerReport.java
@@ -1,5 +1,7 @@
 package stileferry.connectivity;
 
+import stileferry.validation.InvalidInputException;
+
 /**
  * What a worker's report says of its links.
  *
--- a/src/main/java/stileferry/coordination/FairAdmission.java
+++ b/src/main/java/stileferry/coordination/FairAdmission.java
@@ -18,7 +18,6 @@
 import stileferry.admission.Decision;
 import stileferry.admission.DemandEstimate;
 import stileferry.admission.Flow;
-import stileferry.admission.InvalidAdmissionInputException;
 import stileferry.admission.Pressure;
 import stileferry.protocol.Environment;
 import stileferry.protocol.JobSpec;
@@ -28,6 +27,7 @@
 import stileferry.protocol.Settings;
 import stileferry.protocol.SubmissionHead;
 import stileferry.storage.StateClient;
+import stileferry.validation.InvalidInputException;
 
 /** Divides admissions while this node leads, and refuses by the leader's word while it does not (docs/admission.md). */
 final class FairAdmission implements AdmissionControl {
@@ -184,7 +184,7 @@
             door.learn(host.term());
             door.take(AdmissionCodec.readTable(answer.message()), askedAt, environment.now());
             tableOf = leader.node();
-        } catch (InvalidAdmissionInputException e) {
+        } catch (InvalidInputException e) {
             LOG.info("a table that can't be right, from {}: {}", leader.node(), e.getMessage());
         }
     }
@@ -197,7 +197,7 @@
         try {
             controller.merge(AdmissionCodec.readDemand(message.message()), environment.now());
             exchangedAt = environment.now();
-        } catch (InvalidAdmissionInputException e) {
+        } catch (InvalidInputException e) {
             LOG.info("a demand that can't be right: {}", e.getMessage());
             return null;
         }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -40,9 +40,9 @@
     private final Fleet fleet;
     private final SilenceRecords silences;
     private final Placement placement;
-    private final Preemption preemption;
     private final Provisioning provisioning;
-    private final Consolidation consolidation;
+    private final SchedulingPass scheduling;
+    private final EventLoopLag eventLoopLag;
     private final Users users;
     private final long roundMs;
 
@@ -59,6 +59,7 @@
     private boolean passAsked;
     private boolean socketsAreFew;
     private long passTookMs;
+    private long passedAt;
 
     Leader(
             Settings settings,
@@ -92,9 +93,9 @@
                 this::changed);
         this.fleet = tasks.fleet();
         this.placement = new Placement(cluster);
-        this.preemption = new Preemption(cluster, placement);
         this.provisioning = new Provisioning(cluster, environment, fleet, term, links);
-        this.consolidation = new Consolidation(cluster, placement, environment.now(), claim -> tasks.stop(claim, 0));
+        this.scheduling = new SchedulingPass(cluster, environment, links, placement, provisioning, tasks);
+        this.eventLoopLag = eventLoopLag;
         this.roundMs = settings.workers().reportRoundMs();
         this.loader = new StateLoader(environment, state, cluster, ledger, forLoader(), leadership.countingSince() > 0);
         loader.load();
@@ -236,7 +237,9 @@
         if (leadership.sure()) {
             provisioning.list();
             provisioning.returnMachines(settled());
-            pass(true);
+            if (!rests()) {
+                pass(true);
+            }
             endOfTurn();
         }
     }
@@ -272,57 +275,28 @@
         }
     }
 
+    /**
+     * Whether a strained leader that divides admissions rests from regular passes too. Found on overloaded days: three
+     * quarters of a leader's time went into them, each longer than the second between two, while leases lapsed.
+     */
+    private boolean rests() {
+        return admissions != null
+                && eventLoopLag.strained()
+                && environment.now() - passedAt < PASS_REST * passTookMs;
+    }
+
     private void pass(boolean regular) {
         long from = environment.now();
-        passOnce(regular);
-        passTookMs = environment.now() - from;
+        if (ledger.backlog() <= BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
+            scheduling.pass(regular, settled());
+        }
+        passedAt = environment.now();
+        passTookMs = passedAt - from;
         if (placement.cutShort()) {
             changed();
         }
     }
 
-    private void passOnce(boolean regular) {
-        if (cluster.types.isEmpty()
-                || !links.permitsStarting()
-                || ledger.backlog() > BACKLOG_TRANSACTIONS * settings.state().txnOps()) {
-            return;
-        }
-        long now = environment.now();
-        boolean rearranges = settled() && links.permitsPreempting();
-        boolean preempts = rearranges && cluster.options.flag(Options.PREEMPTION);
-        List<Job> waiting = placement.pass(now, environment.timeOfDay(), preempts, this::start);
-        cluster.reservations.clear();
-        if (preempts) {
-            makeRoom(waiting, now);
-        }
-        waiting.removeIf(job -> placement.keptBack(job, now)); // nothing is rented for it, and it is no lack of room
-        if (settled() && !waiting.isEmpty()) {
-            if (regular && links.permitsRenting()) {
-                provisioning.rent(waiting);
-            }
-        }
-        if (regular && rearranges) {
-            consolidation.step(waiting, now);
-        }
-    }
-
-    private void start(Job job, List<Machine> machines) {
-        boolean overdue = placement.overdue(job, environment.timeOfDay());
-        cluster.reservations.remove(job);
-        tasks.start(job, machines, overdue);
-    }
-
-    private void makeRoom(List<Job> waiting, long now) {
-        long urgentAfter = Math.round(1000 * cluster.types.get(0).bootS());
-        for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, environment.timeOfDay())) {
-            LOG.debug(
-                    "stopping {} to make room for {}",
-                    stop.victim().name,
-                    stop.forJob().spec.id());
-            tasks.stop(stop.victim(), stop.graceS());
-        }
-    }
-
     // ---- workers and peers
 
     /** Answers a report; null: not with 200. */
--- /dev/null
+++ b/src/main/java/stileferry/coordination/SchedulingPass.java
@@ -0,0 +1,82 @@
+package stileferry.coordination;
+
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stileferry.protocol.Environment;
+import stileferry.protocol.Options;
+
+/** One pass over the queue: what fits is started, room is made, machines are rented and emptied. */
+final class SchedulingPass {
+    private static final Logger LOG = LoggerFactory.getLogger("leader");
+
+    private final ClusterState cluster;
+    private final Environment environment;
+    private final LinkAwareness links;
+    private final Placement placement;
+    private final Preemption preemption;
+    private final Provisioning provisioning;
+    private final Consolidation consolidation;
+    private final TaskLifecycle tasks;
+
+    SchedulingPass(
+            ClusterState cluster,
+            Environment environment,
+            LinkAwareness links,
+            Placement placement,
+            Provisioning provisioning,
+            TaskLifecycle tasks) {
+        this.cluster = cluster;
+        this.environment = environment;
+        this.links = links;
+        this.placement = placement;
+        this.preemption = new Preemption(cluster, placement);
+        this.provisioning = provisioning;
+        this.consolidation = new Consolidation(cluster, placement, environment.now(), claim -> tasks.stop(claim, 0));
+        this.tasks = tasks;
+    }
+
+    /**
+     * Carries a pass out.
+     *
+     * @param regular whether machines may be rented and emptied too, which is done once an interval
+     * @param settled whether all workers that can report have reported in this term
+     */
+    void pass(boolean regular, boolean settled) {
+        if (cluster.types.isEmpty() || !links.permitsStarting()) {
+            return;
+        }
+        long now = environment.now();
+        boolean rearranges = settled && links.permitsPreempting();
+        boolean preempts = rearranges && cluster.options.flag(Options.PREEMPTION);
+        List<Job> waiting = placement.pass(now, environment.timeOfDay(), preempts, this::start);
+        cluster.reservations.clear();
+        if (preempts) {
+            makeRoom(waiting, now);
+        }
+        waiting.removeIf(job -> placement.keptBack(job, now)); // nothing is rented for it, and it is no lack of room
+        if (settled && regular && !waiting.isEmpty() && links.permitsRenting()) {
+            provisioning.rent(waiting);
+        }
+        if (regular && rearranges) {
+            consolidation.step(waiting, now);
+        }
+    }
+
+    private void start(Job job, List<Machine> machines) {
+        boolean overdue = placement.overdue(job, environment.timeOfDay());
+        cluster.reservations.remove(job);
+        tasks.start(job, machines, overdue);
+    }
+
+    private void makeRoom(List<Job> waiting, long now) {
+        long urgentAfter = Math.round(1000 * cluster.types.get(0).bootS());
+        for (Preemption.Stop stop : preemption.decide(waiting, now, urgentAfter, environment.timeOfDay())) {
+            LOG.debug(
+                    "stopping {} to make room for {}",
+                    stop.victim().name,
+                    stop.forJob().spec.id());
+            tasks.stop(stop.victim(), stop.graceS());
+        }
+    }
+}
--- a/src/main/java/stileferry/coordination/ViewExchange.java
+++ b/src/main/java/stileferry/coordination/ViewExchange.java
@@ -11,12 +11,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stileferry.connectivity.Connectivity;
-import stileferry.connectivity.InvalidInputException;
 import stileferry.connectivity.ReachabilityView;
 import stileferry.connectivity.ViewCodec;
 import stileferry.protocol.Environment;
 import stileferry.protocol.PeerRecord;
 import stileferry.protocol.Settings;
+import stileferry.validation.InvalidInputException;
 
 /** Carries views between controllers, as far as they have shown that they exchange them. */
 final class ViewExchange {
--- a/src/main/java/stileferry/connectivity/InvalidInputException.java
+++ b/src/main/java/stileferry/validation/InvalidInputException.java
@@ -1,4 +1,4 @@
-package stileferry.connectivity;
+package stileferry.validation;
 
 /** Input that can't be right. The object that threw it has not changed. */
 public final class InvalidInputException extends IllegalArgumentException {
@@ -17,17 +17,20 @@
         return argument;
     }
 
-    static void require(boolean holds, String argument, String problem) {
+    /** Refuses an argument of which something does not hold. */
+    public static void require(boolean holds, String argument, String problem) {
         if (!holds) {
             throw new InvalidInputException(argument, problem);
         }
     }
 
-    static void requireTime(long now) {
+    /** Refuses a negative time. */
+    public static void requireTime(long now) {
         require(now >= 0, "now", "negative time " + now);
     }
 
-    static void requireName(String name, String argument) {
+    /** Refuses a missing or empty name. */
+    public static void requireName(String name, String argument) {
         require(name != null && !name.isEmpty(), argument, "missing or empty");
     }
 }
--- a/src/test/java/stileferry/admission/AdmissionDoorTest.java
+++ b/src/test/java/stileferry/admission/AdmissionDoorTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import stileferry.validation.InvalidInputException;
 
 /** Doors, tables, and input that can't be right. */
 class AdmissionDoorTest {
@@ -189,7 +190,7 @@
     }
 
     private static void assertRefused(String argument, Runnable call) {
-        InvalidAdmissionInputException refusal = assertThrows(InvalidAdmissionInputException.class, call::run);
+        InvalidInputException refusal = assertThrows(InvalidInputException.class, call::run);
         assertEquals(argument, refusal.argument(), refusal.getMessage());
     }
 
--- a/src/test/java/stileferry/cli/AdmissionLoopbackTest.java
+++ b/src/test/java/stileferry/cli/AdmissionLoopbackTest.java
@@ -57,27 +57,7 @@
     }
 
     private static JobSpec job(String id, String team) {
-        return new JobSpec(
-                id,
-                "any",
-                team,
-                JobSpec.Kind.ARRAY,
-                JobSpec.Priority.NORMAL,
-                1,
-                1,
-                0,
-                1,
-                "img",
-                0.1,
-                null,
-                null,
-                false,
-                false,
-                true,
-                0.2,
-                0,
-                0,
-                -1);
+        return LoopbackCluster.spec(id, JobSpec.Kind.ARRAY, team, 1, 0.2);
     }
 
     private static JsonNode totals(LoopbackCluster cluster, int controller) throws InterruptedException {
--- a/src/test/java/stileferry/cli/LoopbackCluster.java
+++ b/src/test/java/stileferry/cli/LoopbackCluster.java
@@ -192,9 +192,9 @@
         return List.of("127.0.0.1:" + (port + 1), "127.0.0.1:" + (port + 2), "127.0.0.1:" + (port + 3));
     }
 
-    private String submit(JobSpec.Kind kind, String team, int tasks, double runS) throws InterruptedException {
-        String id = "job-" + (1000 + jobs++);
-        JobSpec spec = new JobSpec(
+    /** A job whose tasks take two CPUs each. */
+    static JobSpec spec(String id, JobSpec.Kind kind, String team, int tasks, double runS) {
+        return new JobSpec(
                 id,
                 "any",
                 team,
@@ -215,6 +215,11 @@
                 0,
                 0,
                 -1);
+    }
+
+    private String submit(JobSpec.Kind kind, String team, int tasks, double runS) throws InterruptedException {
+        String id = "job-" + (1000 + jobs++);
+        JobSpec spec = spec(id, kind, team, tasks, runS);
         int status = users.ask("POST", "/work", MessageCodec.encode(spec.write()), 60_000)
                 .status();
         if (status == 201 || status == 200) {
--- a/src/test/java/stileferry/connectivity/ConnectivityTest.java
+++ b/src/test/java/stileferry/connectivity/ConnectivityTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import stileferry.validation.InvalidInputException;
 
 /** The package as a host program uses it, without any other part of the service. */
 class ConnectivityTest {
