--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -280,9 +280,7 @@
      * quarters of a leader's time went into them, each longer than the second between two, while leases lapsed.
      */
     private boolean rests() {
-        return admissions != null
-                && eventLoopLag.strained()
-                && environment.now() - passedAt < PASS_REST * passTookMs;
+        return admissions != null && eventLoopLag.strained() && environment.now() - passedAt < PASS_REST * passTookMs;
     }
 
     private void pass(boolean regular) {
