--- a/src/main/java/stileferry/admission/AdmissionCounts.java
+++ b/src/main/java/stileferry/admission/AdmissionCounts.java
@@ -1,6 +1,5 @@
 package stileferry.admission;
 
-import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import stileferry.validation.InvalidInputException;
@@ -54,11 +53,4 @@
     public long total() {
         return counts.values().stream().mapToLong(Long::longValue).sum();
     }
-
-    /** What was counted, by team. */
-    public Map<String, Long> byTeam() {
-        Map<String, Long> teams = new TreeMap<>();
-        counts.forEach((cell, count) -> teams.merge(cell.team(), count, Long::sum));
-        return teams;
-    }
 }
--- a/src/main/java/stileferry/admission/DemandMeter.java
+++ b/src/main/java/stileferry/admission/DemandMeter.java
@@ -66,9 +66,4 @@
         FlowDemand demand = flows.get(flow);
         return demand == null ? 0 : demand.admissions(slice(now)) / AdmissionConfig.PATIENCE_S;
     }
-
-    /** Flows that are kept. */
-    int size() {
-        return flows.size();
-    }
 }
