--- a/src/main/java/stileferry/standin/KeyValueStore.java
+++ b/src/main/java/stileferry/standin/KeyValueStore.java
@@ -43,6 +43,9 @@
     private static final String LEASE_PATH = LEASES_PATH + "/";
     private static final int MAX_ROWS = 1000;
 
+    /** Maximum size of the rows of one page, in JSON form. */
+    private static final int MAX_PAGE_BYTES = 512 * 1024;
+
     /** Comparisons allowed in a transaction per allowed operation. */
     private static final int COMPARISONS_PER_OPERATION = 4;
 
@@ -160,11 +163,13 @@
         SortedMap<String, Entry> candidates =
                 afterKey.isEmpty() ? entries.tailMap(prefix, true) : entries.tailMap(afterKey, false);
         boolean more = false;
+        int bytes = 0;
         for (Map.Entry<String, Entry> row : candidates.entrySet()) {
             if (!row.getKey().startsWith(prefix)) {
                 break;
             }
-            if (rows.size() == limit) {
+            bytes += row.getValue().value.toString().length();
+            if (rows.size() == limit || !rows.isEmpty() && bytes > MAX_PAGE_BYTES) {
                 more = true;
                 break;
             }
--- a/src/main/java/stileferry/transport/StandInServer.java
+++ b/src/main/java/stileferry/transport/StandInServer.java
@@ -121,6 +121,11 @@
         loop.ioThread().execute(this::tick);
     }
 
+    /** Changes the limits of the key-value store, from the next request on. */
+    public void setStoreLimits(int maxOperations, double maxValueKb) {
+        loop.ioThread().execute(() -> store.setLimits(maxOperations, maxValueKb));
+    }
+
     /** Returns the address of the key-value store and the cloud, as host:port. */
     public String address() {
         return LOOPBACK + ":" + port;
