Log and count who leads, what was read from the store and why users get 503

The logs of the break could not have told what happened: a leader logged its election and its readiness, but nothing about the reads between them, and an answer 503 was counted without its reason.

Logged now, on changes only: the leader a follower observes, each part of the state that a new leader reads (rows, store revision, duration, attempt, heap), reads that failed and started over, how long recovery took, and changes of the right to answer with the reason and how long the previous one lasted. Counted in the view counters: 503 by typed reason; age of the oldest queued read and write; heap. In the view leader: age of the oldest reply that waits for durability, transactions in flight.

--- a/src/main/java/stileferry/coordination/ControllerContext.java
+++ b/src/main/java/stileferry/coordination/ControllerContext.java
@@ -7,6 +7,7 @@
 import stileferry.overload.AdmissionControl;
 import stileferry.protocol.Environment;
 import stileferry.protocol.Settings;
+import stileferry.requests.RequestMetrics;
 import stileferry.storage.KeyValueStoreClient;
 
 /** The objects that the components of one controller share, whether or not it leads. */
@@ -18,4 +19,5 @@
         LinkHealth links,
         AdmissionControl admission,
         EventLoopLag eventLoopLag,
-        CompletedJobCache completedJobs) {}
+        CompletedJobCache completedJobs,
+        RequestMetrics metrics) {}
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -69,13 +69,13 @@
                 links,
                 admission,
                 new EventLoopLag(environment, settings.workers().heartbeatIntervalS()),
-                new CompletedJobCache(settings.maxSockets()));
+                new CompletedJobCache(settings.maxSockets()),
+                new RequestMetrics());
         this.machineTypes = new MachineTypeCatalog(environment, settings.cloudAddress(), this::updateMachineTypes);
-        RequestMetrics metrics = new RequestMetrics();
         this.heartbeats = new HeartbeatRouter(controller, this::leader);
-        this.userRequests = new UserRequestRouter(controller, this::leader, heartbeats, metrics);
+        this.userRequests = new UserRequestRouter(controller, this::leader, heartbeats);
         this.peerMessages = new PeerMessageHandler(controller, this::leader, userRequests);
-        this.localAdministration = new LocalAdministration(controller, metrics);
+        this.localAdministration = new LocalAdministration(controller);
     }
 
     /** Starts all components; from now on the controller follows the leader or campaigns for leadership. */
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -28,6 +28,7 @@
 import stileferry.requests.JobRequestHandler;
 import stileferry.requests.OperatorSettingsHandler;
 import stileferry.requests.Responses;
+import stileferry.requests.UnavailableReason;
 import stileferry.scheduling.Placement;
 import stileferry.scheduling.SchedulingPass;
 import stileferry.storage.CommitQueue;
@@ -40,6 +41,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("leader");
 
     private static final double MS_PER_S = 1000;
+    private static final long BYTES_PER_MB = 1024 * 1024;
 
     private final Settings settings;
     private final Environment environment;
@@ -65,6 +67,11 @@
     private AdministrationHandler administration;
 
     private Phase phase = Phase.READING_JOBS;
+
+    /** The reason last found by {@link #whyNotAnswer}; a change of it is logged. */
+    private UnavailableReason lastWhyNotAnswer = UnavailableReason.RECOVERING;
+
+    private long whyNotAnswerChangedAt;
     private boolean closed;
     private long activeAt;
 
@@ -108,12 +115,14 @@
         this.connectionBudgetWarning = new ConnectionBudgetWarning(settings);
         this.schedulingLoop = schedulingLoop(controller);
         this.heartbeatRoundMs = settings.workers().heartbeatRoundMs();
+        this.whyNotAnswerChangedAt = environment.now();
         this.recovery = new StateRecovery(
                 environment,
                 controller.store(),
                 cluster,
                 commitQueue,
                 new RecoveryListener(),
+                term,
                 election.admissionsCountedSince() > 0);
         recovery.load();
     }
@@ -175,10 +184,13 @@
         phase = Phase.ACTIVE;
         activeAt = environment.now();
         LOG.info(
-                "leader ready: term={} jobs={} assignments={}",
+                "leader ready: term={} jobs={} assignments={} took_ms={} attempts={} heap_used_mb={}",
                 term,
                 cluster.jobs().size(),
-                recovered.assignments());
+                recovered.assignments(),
+                recovered.tookMs(),
+                recovered.attempts(),
+                environment.usedHeapBytes() / BYTES_PER_MB);
         taskLifecycle.jobCompletion().resumeAfterFailover();
         election.cancellations().allCancelledJobsRead();
         autoscaler.refreshInventory();
@@ -274,13 +286,42 @@
 
     // ---- users and operators
 
-    private boolean mayAnswer() {
-        return active() && !closed && election.leaseHeld();
+    /** Returns why users and operators may not be answered now; null: they may. Logs whenever the answer changes. */
+    private UnavailableReason whyNotAnswer() {
+        UnavailableReason whyNot = null;
+        if (closed) {
+            whyNot = UnavailableReason.TERM_ENDED;
+        } else if (!active()) {
+            whyNot = UnavailableReason.RECOVERING;
+        } else if (!election.leaseHeld()) {
+            whyNot = UnavailableReason.LEASE_NOT_HELD;
+        }
+        if (whyNot != lastWhyNotAnswer) {
+            logRightToAnswer(whyNot);
+        }
+        return whyNot;
+    }
+
+    private void logRightToAnswer(UnavailableReason whyNot) {
+        long now = environment.now();
+        LOG.info(
+                "right to answer users changed: term={} reason={} previous={} previous_ms={}",
+                term,
+                whyNot == null ? "granted" : whyNot.label(),
+                lastWhyNotAnswer == null ? "granted" : lastWhyNotAnswer.label(),
+                now - whyNotAnswerChangedAt);
+        lastWhyNotAnswer = whyNot;
+        whyNotAnswerChangedAt = now;
+    }
+
+    private UnavailableReason whyNotAcceptChanges() {
+        UnavailableReason whyNot = whyNotAnswer();
+        return whyNot == null && !links.permitsUserChanges() ? UnavailableReason.CHANGES_SUSPENDED : whyNot;
     }
 
     /** Returns whether users' jobs may be accepted and cancelled now. */
     boolean mayAcceptChanges() {
-        return mayAnswer() && links.permitsUserChanges();
+        return whyNotAcceptChanges() == null;
     }
 
     /**
@@ -303,7 +344,7 @@
      * it is not yet active.
      */
     void administer(AdministrationRequest request, Consumer<PeerMessage.Response> reply) {
-        if (!mayAnswer()) {
+        if (whyNotAnswer() != null) {
             reply.accept(Responses.noLeader());
         } else {
             administration.handle(request, reply);
@@ -318,19 +359,21 @@
                 .put("live_jobs", cluster.jobs().size())
                 .put("machines", cluster.machines().size())
                 .put("changes_waiting", commitQueue.backlog())
+                .put("oldest_reply_ms", jobRequests.oldestPendingReplyMs())
+                .put("transactions_in_flight", commitQueue.inFlight())
                 .set("gangs", taskLifecycle.gangMetrics().describe());
     }
 
     /** Callbacks for the handler of users' requests about jobs. */
     private final class JobRequestCallbacks implements JobRequestHandler.LeaderCallbacks {
         @Override
-        public boolean mayAnswer() {
-            return Leader.this.mayAnswer();
+        public UnavailableReason whyNotAnswer() {
+            return Leader.this.whyNotAnswer();
         }
 
         @Override
-        public boolean mayAcceptChanges() {
-            return Leader.this.mayAcceptChanges();
+        public UnavailableReason whyNotAcceptChanges() {
+            return Leader.this.whyNotAcceptChanges();
         }
 
         @Override
--- a/src/main/java/stileferry/coordination/LocalAdministration.java
+++ b/src/main/java/stileferry/coordination/LocalAdministration.java
@@ -3,17 +3,16 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.function.Consumer;
 import stileferry.protocol.PeerMessage;
-import stileferry.requests.RequestMetrics;
 import stileferry.requests.Responses;
 
 /** Provides the administration views that every controller generates from its own state, whether or not it leads. */
 final class LocalAdministration {
+    private static final long BYTES_PER_MB = 1024 * 1024;
+
     private final ControllerContext controller;
-    private final RequestMetrics metrics;
 
-    LocalAdministration(ControllerContext controller, RequestMetrics metrics) {
+    LocalAdministration(ControllerContext controller) {
         this.controller = controller;
-        this.metrics = metrics;
     }
 
     /**
@@ -49,11 +48,17 @@
     }
 
     private ObjectNode counters() {
-        return metrics.describe()
+        return controller
+                .metrics()
+                .describe()
                 .put("node", controller.settings().controllerName())
                 .put("leader", controller.election().leader())
                 .put("term", controller.election().term())
                 .put("late_ms", controller.eventLoopLag().lagMs())
-                .put("most_late_ms", controller.eventLoopLag().maxLagMs());
+                .put("most_late_ms", controller.eventLoopLag().maxLagMs())
+                .put("oldest_read_ms", controller.store().oldestQueuedReadMs())
+                .put("oldest_write_ms", controller.store().oldestQueuedWriteMs())
+                .put("heap_used_mb", controller.environment().usedHeapBytes() / BYTES_PER_MB)
+                .put("heap_max_mb", controller.environment().maxHeapBytes() / BYTES_PER_MB);
     }
 }
--- a/src/main/java/stileferry/coordination/StateRecovery.java
+++ b/src/main/java/stileferry/coordination/StateRecovery.java
@@ -20,6 +20,7 @@
 import stileferry.protocol.OperatorSettings;
 import stileferry.storage.CommitQueue;
 import stileferry.storage.KeyValueStoreClient;
+import stileferry.storage.ScanResult;
 import stileferry.storage.StoredEvent;
 
 /** Reads the whole durable state when a leader's term begins, and restores jobs and task assignments from it. */
@@ -27,6 +28,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("leader");
 
     private static final long RETRY_DELAY_MS = 300;
+    private static final long BYTES_PER_MB = 1024 * 1024;
 
     /** Prefix of legacy records, each with a part of one job's tasks, which are read and then replaced. */
     private static final String LEGACY_CHUNK_PREFIX = "c/";
@@ -36,7 +38,10 @@
     private final ClusterState cluster;
     private final CommitQueue commitQueue;
     private final Listener listener;
+    private final long term;
+    private final long startedAt;
     private final List<String> prefixes;
+    private int attempts;
     private boolean closed;
 
     /** Receives the recovered state; implemented by the leader. */
@@ -59,16 +64,21 @@
      *
      * @param operatorSettingsRevision the revision of the operators' settings, or 0 if none are stored
      * @param assignments the number of task assignments that were read
+     * @param tookMs how long recovery took, with all attempts
+     * @param attempts how often it was begun; more than one if reads failed
      */
     record Recovered(
             long operatorSettingsRevision,
             int assignments,
+            long tookMs,
+            int attempts,
             Iterable<LastHeartbeatRecord> lastHeartbeats,
             List<KeyValue> admissionShards) {}
 
     /**
      * Creates a recovery, without starting it.
      *
+     * @param term the term in which the state is read
      * @param readsAdmissionShards whether the durable count of admissions is read too
      */
     StateRecovery(
@@ -77,8 +87,11 @@
             ClusterState cluster,
             CommitQueue commitQueue,
             Listener listener,
+            long term,
             boolean readsAdmissionShards) {
         this.environment = environment;
+        this.term = term;
+        this.startedAt = environment.now();
         this.store = store;
         this.cluster = cluster;
         this.commitQueue = commitQueue;
@@ -95,9 +108,15 @@
 
     /** Reads the whole state, and starts over after a delay if a read fails. */
     void load() {
+        attempts++;
         read(prefixes, new HashMap<>());
     }
 
+    private void startOver(String failedRead) {
+        LOG.warn("state read failed, starting over: term={} attempt={} key={}", term, attempts, failedRead);
+        environment.schedule(RETRY_DELAY_MS, this::load);
+    }
+
     /** Reads the remaining prefixes one after another. */
     private void read(List<String> prefixesLeft, Map<String, List<KeyValue>> rowsByPrefix) {
         if (prefixesLeft.isEmpty()) {
@@ -105,14 +124,16 @@
             return;
         }
         String prefix = prefixesLeft.get(0);
+        long sentAt = environment.now();
         store.scan(prefix, true, scan -> {
             if (closed) {
                 return;
             }
             if (scan.rows() == null) {
-                environment.schedule(RETRY_DELAY_MS, this::load);
+                startOver(prefix);
                 return;
             }
+            logRead(prefix, scan, environment.now() - sentAt);
             if (prefix.equals(Job.KEY_PREFIX)) {
                 listener.cancelledJobs(cancelledJobs(scan.rows()));
             }
@@ -121,6 +142,18 @@
         });
     }
 
+    private void logRead(String prefix, ScanResult scan, long tookMs) {
+        LOG.info(
+                "state read: term={} attempt={} prefix={} rows={} revision={} took_ms={} heap_used_mb={}",
+                term,
+                attempts,
+                prefix,
+                scan.rows().size(),
+                scan.revision(),
+                tookMs,
+                environment.usedHeapBytes() / BYTES_PER_MB);
+    }
+
     private static List<String> cancelledJobs(List<KeyValue> jobs) {
         List<String> ids = new ArrayList<>();
         for (KeyValue row : jobs) {
@@ -143,7 +176,7 @@
             if (result.found()) {
                 listener.operatorSettings(OperatorSettings.read(result.row().value()));
             } else if (result.unknown()) {
-                environment.schedule(RETRY_DELAY_MS, this::load);
+                startOver(LeaderElection.OPERATOR_SETTINGS_KEY);
                 return;
             }
             long revision = result.found() ? result.row().revision() : 0;
@@ -161,6 +194,8 @@
         listener.recovered(new Recovered(
                 operatorSettingsRevision,
                 assignments.size(),
+                environment.now() - startedAt,
+                attempts,
                 reader.lastHeartbeats(),
                 rowsByPrefix.getOrDefault(AdmissionCountShards.KEY_PREFIX, List.of())));
     }
--- a/src/main/java/stileferry/coordination/TermComponents.java
+++ b/src/main/java/stileferry/coordination/TermComponents.java
@@ -55,7 +55,13 @@
         LastHeartbeatJournal journal =
                 new LastHeartbeatJournal(cluster, environment, commitQueue, election, term.number());
         JobRequestHandler jobRequests = new JobRequestHandler(
-                cluster, environment, controller.store(), commitQueue, controller.completedJobs(), callbacks);
+                cluster,
+                environment,
+                controller.store(),
+                commitQueue,
+                controller.completedJobs(),
+                callbacks,
+                controller.metrics());
         TaskLifecycle taskLifecycle = new TaskLifecycle(
                 cluster,
                 environment,
--- a/src/main/java/stileferry/coordination/UserRequestRouter.java
+++ b/src/main/java/stileferry/coordination/UserRequestRouter.java
@@ -9,8 +9,7 @@
 import stileferry.protocol.PeerMessage.RequestKind;
 import stileferry.protocol.Settings;
 import stileferry.requests.AdministrationRequest;
-import stileferry.requests.RequestMetrics;
-import stileferry.requests.Responses;
+import stileferry.requests.UnavailableReason;
 
 /** Routes users' requests to the leader, which is this controller or another one. */
 final class UserRequestRouter {
@@ -25,15 +24,12 @@
     private final ControllerContext controller;
     private final Supplier<Leader> leader;
     private final HeartbeatRouter heartbeats;
-    private final RequestMetrics metrics;
 
     /** {@code leader} supplies null while this controller does not lead. */
-    UserRequestRouter(
-            ControllerContext controller, Supplier<Leader> leader, HeartbeatRouter heartbeats, RequestMetrics metrics) {
+    UserRequestRouter(ControllerContext controller, Supplier<Leader> leader, HeartbeatRouter heartbeats) {
         this.controller = controller;
         this.leader = leader;
         this.heartbeats = heartbeats;
-        this.metrics = metrics;
     }
 
     /**
@@ -43,7 +39,7 @@
         long receivedAt = controller.environment().now();
         route(request, response -> {
             long tookMs = controller.environment().now() - receivedAt;
-            metrics.record(request.kind(), response.status(), tookMs);
+            controller.metrics().record(request.kind(), response.status(), tookMs);
             if (request.kind() == RequestKind.SUBMIT) {
                 LOG.debug(
                         "submission answered: status={} took_ms={} leader={}",
@@ -63,7 +59,7 @@
         }
         Settings.Peer peer = controller.election().leaderPeer();
         if (peer == null || controller.links().peerUnreachable(peer.name())) {
-            reply.accept(Responses.unavailable());
+            reply.accept(controller.metrics().unavailable(UnavailableReason.NO_LEADER_KNOWN));
             return;
         }
         if (request.kind() == RequestKind.SUBMIT) {
@@ -75,8 +71,10 @@
 
     private void forward(Settings.Peer peer, ForwardedRequest request, Consumer<PeerMessage.Response> reply) {
         long timeoutMs = request.kind() == RequestKind.STATUS ? STATUS_FORWARD_TIMEOUT_MS : CHANGE_FORWARD_TIMEOUT_MS;
-        Consumer<PeerMessage> onAnswer = answer ->
-                reply.accept(answer instanceof PeerMessage.Response response ? response : Responses.unavailable());
+        Consumer<PeerMessage> onAnswer = answer -> reply.accept(
+                answer instanceof PeerMessage.Response response
+                        ? response
+                        : controller.metrics().unavailable(UnavailableReason.LEADER_DID_NOT_ANSWER));
         boolean batched = request.kind() != RequestKind.ADMINISTRATION
                 && controller.admission().acceptsBatches(peer);
         if (batched) {
@@ -90,7 +88,7 @@
     void handleForwarded(ForwardedRequest request, Consumer<PeerMessage.Response> reply) {
         Leader current = leader.get();
         if (current == null) {
-            reply.accept(Responses.unavailable());
+            reply.accept(controller.metrics().unavailable(UnavailableReason.NOT_LEADING));
         } else {
             handleAsLeader(current, request, reply);
         }
--- a/src/main/java/stileferry/leadership/LeaderElection.java
+++ b/src/main/java/stileferry/leadership/LeaderElection.java
@@ -256,6 +256,9 @@
             }
         }
         if (!leader.isEmpty() && !leader.equals(settings.controllerName()) && !leading) {
+            if (!leader.equals(otherLeader)) {
+                LOG.info("leader observed: term={} leader={}", observedTerm, leader);
+            }
             otherLeader = leader;
             leaderLastHeardAt = environment.now();
         }
--- a/src/main/java/stileferry/links/LinkObservingEnvironment.java
+++ b/src/main/java/stileferry/links/LinkObservingEnvironment.java
@@ -46,6 +46,16 @@
         delegate.setLogLevel(level);
     }
 
+    @Override
+    public long usedHeapBytes() {
+        return delegate.usedHeapBytes();
+    }
+
+    @Override
+    public long maxHeapBytes() {
+        return delegate.maxHeapBytes();
+    }
+
     @Override
     public void schedule(long delayMs, Runnable task) {
         delegate.schedule(delayMs, task);
--- a/src/main/java/stileferry/protocol/Environment.java
+++ b/src/main/java/stileferry/protocol/Environment.java
@@ -27,6 +27,16 @@
     /** Sets the log level: error, info, debug, or default for the level that the process was started with. */
     void setLogLevel(String level);
 
+    /** Returns the bytes of heap in use, garbage included; 0 if the implementation does not measure it. */
+    default long usedHeapBytes() {
+        return 0;
+    }
+
+    /** Returns the maximum size of the heap in bytes; 0 if the implementation does not measure it. */
+    default long maxHeapBytes() {
+        return 0;
+    }
+
     /** Runs a task after a delay, on the thread that owns the state. */
     void schedule(long delayMs, Runnable task);
 
--- a/src/main/java/stileferry/requests/JobRequestHandler.java
+++ b/src/main/java/stileferry/requests/JobRequestHandler.java
@@ -31,16 +31,17 @@
     private final CommitQueue commitQueue;
     private final CompletedJobCache completedJobs;
     private final LeaderCallbacks leader;
+    private final RequestMetrics metrics;
     private final PendingReplies pendingReplies;
     private final SubmissionCheck submissionCheck;
 
     /** Callbacks into the leader. */
     public interface LeaderCallbacks {
-        /** Returns whether requests may be responded to now, including those that only read. */
-        boolean mayAnswer();
+        /** Returns why requests may not be responded to now, including those that only read; null: they may. */
+        UnavailableReason whyNotAnswer();
 
-        /** Returns whether submissions and cancellations may be accepted now. */
-        boolean mayAcceptChanges();
+        /** Returns why submissions and cancellations may not be accepted now; null: they may. */
+        UnavailableReason whyNotAcceptChanges();
 
         /** Returns the next sequence number of this term, higher than all previous ones. */
         long nextSequenceNumber();
@@ -65,21 +66,23 @@
             KeyValueStoreClient store,
             CommitQueue commitQueue,
             CompletedJobCache completedJobs,
-            LeaderCallbacks leader) {
+            LeaderCallbacks leader,
+            RequestMetrics metrics) {
         this.cluster = cluster;
         this.environment = environment;
         this.store = store;
         this.commitQueue = commitQueue;
         this.completedJobs = completedJobs;
         this.leader = leader;
-        this.pendingReplies = new PendingReplies(environment);
-        this.submissionCheck = new SubmissionCheck(cluster);
+        this.metrics = metrics;
+        this.pendingReplies = new PendingReplies(environment, metrics);
+        this.submissionCheck = new SubmissionCheck(cluster, metrics);
     }
 
     /** Responds with 503 to all waiting users, as this handler will not learn the outcome of their requests. */
     public void close() {
         for (Job job : cluster.jobs().values()) {
-            pendingReplies.answer(job, Responses.unavailable());
+            pendingReplies.answer(job, metrics.unavailable(UnavailableReason.TERM_ENDED));
         }
     }
 
@@ -88,7 +91,7 @@
      * If the leader may no longer respond, all waiting users get this response.
      */
     public void expireOverdueReplies() {
-        pendingReplies.expireOverdue(leader.mayAnswer());
+        pendingReplies.expireOverdue(leader.whyNotAnswer());
     }
 
     @Override
@@ -98,7 +101,7 @@
 
     @Override
     public void cancellationConfirmed(Job job) {
-        pendingReplies.answer(job, JobResponses.state(job));
+        pendingReplies.answer(job, state(job));
     }
 
     /** Returns whether a job is cached as completed: its completion was looked up or happened recently. */
@@ -115,12 +118,25 @@
         return Math.max(commitQueue.backlog() / limits.writesPerS(), store.queuedRequests() / limits.requestsPerS());
     }
 
+    /** Returns for how many milliseconds the oldest reply has been held back, or 0 if none is. */
+    public long oldestPendingReplyMs() {
+        return pendingReplies.oldestMs();
+    }
+
+    /** Returns the state of a live job, or 503 while the outcome of a change to it is not known. */
+    private PeerMessage.Response state(Job job) {
+        return JobResponses.changeSettled(job)
+                ? JobResponses.state(job)
+                : metrics.unavailable(UnavailableReason.CHANGE_NOT_SETTLED);
+    }
+
     // ---- submissions
 
     /** Accepts a job, or responds with the state of the existing job of this id. */
     public void submit(byte[] bytes, Consumer<PeerMessage.Response> reply) {
-        if (!leader.mayAcceptChanges()) {
-            reply.accept(Responses.unavailable());
+        UnavailableReason whyNot = leader.whyNotAcceptChanges();
+        if (whyNot != null) {
+            reply.accept(metrics.unavailable(whyNot));
             return;
         }
         Submission submission = Submission.read(bytes);
@@ -141,6 +157,7 @@
         boolean urgent = leader.bypassesBacklog(bytes);
         int retryAfterS = retryAfterBacklogS();
         if (retryAfterS > 0 && !urgent) { // the job would only wait in the queue and delay all behind it
+            metrics.unavailable(UnavailableReason.BACKLOG_TOO_LONG);
             reply.accept(new PeerMessage.Response(
                     503, retryAfterS, MessageCodec.encode(UserMessages.error("too much to do, try again"))));
             return;
@@ -176,7 +193,7 @@
 
     private void answerResubmission(Job job, Consumer<PeerMessage.Response> reply) {
         if (job.accepted()) {
-            reply.accept(JobResponses.state(job));
+            reply.accept(state(job));
         } else {
             pendingReplies.add(job, reply);
         }
@@ -225,13 +242,14 @@
 
     /** Responds with the state of a live or completed job. */
     public void status(String id, Consumer<PeerMessage.Response> reply) {
-        if (!leader.mayAnswer()) {
-            reply.accept(Responses.unavailable());
+        UnavailableReason whyNot = leader.whyNotAnswer();
+        if (whyNot != null) {
+            reply.accept(metrics.unavailable(whyNot));
             return;
         }
         Job job = cluster.jobs().get(id);
         if (job != null) {
-            reply.accept(JobResponses.state(job));
+            reply.accept(state(job));
             return;
         }
         if (cluster.unreadableJobs().contains(id)) {
@@ -240,29 +258,32 @@
         }
         answerIfCompleted(id, reply, () -> {
             Job submittedMeanwhile = cluster.jobs().get(id);
-            reply.accept(submittedMeanwhile != null ? JobResponses.state(submittedMeanwhile) : completedOrNotFound(id));
+            reply.accept(submittedMeanwhile != null ? state(submittedMeanwhile) : completedOrNotFound(id));
         });
     }
 
     /** Cancels a job; responds once its cancellation, or its completion, is durable. */
     public void cancel(String id, Consumer<PeerMessage.Response> reply) {
-        if (!leader.mayAcceptChanges()) {
-            reply.accept(Responses.unavailable());
+        UnavailableReason whyNot = leader.whyNotAcceptChanges();
+        if (whyNot != null) {
+            reply.accept(metrics.unavailable(whyNot));
             return;
         }
         Job job = cluster.jobs().get(id);
         if (job == null && cluster.unreadableJobs().contains(id)) {
-            reply.accept(Responses.unavailable());
+            reply.accept(metrics.unavailable(UnavailableReason.CHANGE_NOT_SETTLED));
         } else if (job == null) {
             answerIfCompleted(
                     id,
                     reply,
                     () -> reply.accept(
-                            cluster.jobs().containsKey(id) ? Responses.unavailable() : completedOrNotFound(id)));
+                            cluster.jobs().containsKey(id)
+                                    ? metrics.unavailable(UnavailableReason.CHANGE_NOT_SETTLED)
+                                    : completedOrNotFound(id)));
         } else if (!job.accepted()) {
-            reply.accept(Responses.unavailable());
+            reply.accept(metrics.unavailable(UnavailableReason.CHANGE_NOT_SETTLED));
         } else if (job.cancellationConfirmed()) {
-            reply.accept(JobResponses.state(job));
+            reply.accept(state(job));
         } else {
             pendingReplies.add(job, reply);
             if (!job.completing() && !job.cancelled()) {
@@ -284,8 +305,11 @@
             return;
         }
         store.get(Job.completedKey(id), result -> {
-            if (!leader.mayAnswer() || result.unknown()) {
-                reply.accept(Responses.unavailable());
+            UnavailableReason whyNot = leader.whyNotAnswer();
+            if (whyNot != null) {
+                reply.accept(metrics.unavailable(whyNot));
+            } else if (result.unknown()) {
+                reply.accept(metrics.unavailable(UnavailableReason.STORE_NOT_READABLE));
             } else if (result.found()) {
                 CompletedJob completed = CompletedJob.read(result.row().value());
                 completedJobs.put(id, completed);
--- a/src/main/java/stileferry/requests/JobResponses.java
+++ b/src/main/java/stileferry/requests/JobResponses.java
@@ -13,11 +13,13 @@
 
     private JobResponses() {}
 
-    /** Returns the state of a live job, or 503 while the outcome of a change to it is not known. */
+    /** Returns whether the outcome of the acceptance and, if it was requested, of the cancellation is known. */
+    static boolean changeSettled(Job job) {
+        return job.accepted() && (!job.cancelled() || job.cancellationConfirmed());
+    }
+
+    /** Returns the state of a live job whose changes are settled. */
     static PeerMessage.Response state(Job job) {
-        if (!job.accepted() || job.cancelled() && !job.cancellationConfirmed()) {
-            return Responses.unavailable(); // the outcome of the acceptance or cancellation is not known yet
-        }
         int running = job.cancelled() ? 0 : job.runningCount();
         String state = job.cancelled() ? CANCELLED : running > 0 ? RUNNING : PENDING;
         // until the job's completion is durable, users must not see all of its tasks as completed
--- a/src/main/java/stileferry/requests/PendingReplies.java
+++ b/src/main/java/stileferry/requests/PendingReplies.java
@@ -15,6 +15,7 @@
     private static final long DURABILITY_TIMEOUT_MS = 3000;
 
     private final Environment environment;
+    private final RequestMetrics metrics;
 
     /** The waiting replies by job, in the order in which the first reply for each job was added. */
     private final Map<Job, Waiters> waitersByJob = new LinkedHashMap<>();
@@ -26,8 +27,9 @@
      */
     private record Waiters(long firstAddedAt, List<Consumer<PeerMessage.Response>> replies) {}
 
-    PendingReplies(Environment environment) {
+    PendingReplies(Environment environment, RequestMetrics metrics) {
         this.environment = environment;
+        this.metrics = metrics;
     }
 
     /** Holds a reply back until {@link #answer} is called for the job. */
@@ -46,13 +48,30 @@
         }
     }
 
-    /** Responds with 503 to users that have waited too long, or to all of them if the leader may no longer respond. */
-    void expireOverdue(boolean mayAnswer) {
+    /** Returns for how many milliseconds the oldest reply has been held back, or 0 if none is. */
+    long oldestMs() {
+        return waitersByJob.values().stream()
+                .mapToLong(waiters -> environment.now() - waiters.firstAddedAt)
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Responds with 503 to users that have waited too long, or to all of them if the leader may no longer respond.
+     *
+     * @param whyNotAnswer why the leader may not respond; null: it may
+     */
+    void expireOverdue(UnavailableReason whyNotAnswer) {
         long now = environment.now();
         for (Job job : List.copyOf(waitersByJob.keySet())) {
             Waiters waiters = waitersByJob.get(job);
-            if (waiters != null && (!mayAnswer || now - waiters.firstAddedAt > DURABILITY_TIMEOUT_MS)) {
-                answer(job, Responses.unavailable());
+            if (waiters == null) {
+                continue;
+            }
+            if (whyNotAnswer != null) {
+                answer(job, metrics.unavailable(whyNotAnswer));
+            } else if (now - waiters.firstAddedAt > DURABILITY_TIMEOUT_MS) {
+                answer(job, metrics.unavailable(UnavailableReason.CHANGE_NOT_DURABLE_IN_TIME));
             }
         }
     }
--- a/src/main/java/stileferry/requests/RequestMetrics.java
+++ b/src/main/java/stileferry/requests/RequestMetrics.java
@@ -14,6 +14,7 @@
 
     private final Map<PeerMessage.RequestKind, Histogram> latencies = new EnumMap<>(PeerMessage.RequestKind.class);
     private final Map<String, Long> responseCounts = new TreeMap<>();
+    private final Map<UnavailableReason, Long> unavailableCounts = new EnumMap<>(UnavailableReason.class);
 
     /** Records one response; latencies are clamped to at most {@link #MAX_LATENCY_MS}. */
     public void record(PeerMessage.RequestKind kind, int status, long latencyMs) {
@@ -23,11 +24,21 @@
         responseCounts.merge(kind.wireName() + " " + status, 1L, Long::sum);
     }
 
+    /** Counts the reason and returns the response with which the request is to be repeated. */
+    public PeerMessage.Response unavailable(UnavailableReason reason) {
+        unavailableCounts.merge(reason, 1L, Long::sum);
+        return Responses.unavailable();
+    }
+
     /** Returns the metrics as a view of the administration API. */
     public ObjectNode describe() {
         ObjectNode view = MessageCodec.map();
         ObjectNode counts = view.putObject("answers");
         responseCounts.forEach(counts::put);
+        ObjectNode reasons = view.putObject("unavailable");
+        for (UnavailableReason reason : UnavailableReason.values()) {
+            reasons.put(reason.label(), unavailableCounts.getOrDefault(reason, 0L));
+        }
         ObjectNode latenciesView = view.putObject("times_ms");
         latencies.forEach((kind, histogram) -> latenciesView
                 .putObject(kind.wireName())
--- a/src/main/java/stileferry/requests/SubmissionCheck.java
+++ b/src/main/java/stileferry/requests/SubmissionCheck.java
@@ -15,9 +15,11 @@
     private static final int HTTP_UNPROCESSABLE = 422;
 
     private final ClusterState cluster;
+    private final RequestMetrics metrics;
 
-    SubmissionCheck(ClusterState cluster) {
+    SubmissionCheck(ClusterState cluster, RequestMetrics metrics) {
         this.cluster = cluster;
+        this.metrics = metrics;
     }
 
     /** Returns the response that says why a job can't be accepted, or null if it can. */
@@ -27,7 +29,7 @@
             return reject("unknown team");
         }
         if (cluster.machineTypes().isEmpty()) {
-            return Responses.unavailable();
+            return metrics.unavailable(UnavailableReason.MACHINE_TYPES_UNKNOWN);
         }
         if (cluster.machineTypes().stream().noneMatch(spec::fitsMachineType)) {
             return reject("a task fits no allowed machine type");
--- a/src/main/java/stileferry/storage/KeyValueStoreClient.java
+++ b/src/main/java/stileferry/storage/KeyValueStoreClient.java
@@ -58,7 +58,7 @@
     private final long timeoutMs;
     private boolean pollScheduled;
 
-    private record QueuedRequest(int writes, Runnable send) {}
+    private record QueuedRequest(int writes, long queuedAt, Runnable send) {}
 
     /** Creates a client of the store whose address is in the settings. */
     public KeyValueStoreClient(Environment environment, Settings settings) {
@@ -96,6 +96,20 @@
         return queuedWrites.size() + queuedReads.size();
     }
 
+    /** Returns for how many milliseconds the oldest queued read has waited to be sent, or 0 if none waits. */
+    public long oldestQueuedReadMs() {
+        return oldestMs(queuedReads);
+    }
+
+    /** Returns for how many milliseconds the oldest queued transaction has waited to be sent, or 0 if none waits. */
+    public long oldestQueuedWriteMs() {
+        return oldestMs(queuedWrites);
+    }
+
+    private long oldestMs(ArrayDeque<QueuedRequest> queue) {
+        return queue.isEmpty() ? 0 : environment.now() - queue.peek().queuedAt;
+    }
+
     /** Reads one key, as a queued request. */
     public void get(String key, Consumer<ReadResult> reply) {
         String path = KeyValueStoreProtocol.keyPath(key);
@@ -218,7 +232,7 @@
             send.run();
             return;
         }
-        (writes > 0 ? queuedWrites : queuedReads).add(new QueuedRequest(writes, send));
+        (writes > 0 ? queuedWrites : queuedReads).add(new QueuedRequest(writes, environment.now(), send));
         sendQueued();
     }
 
--- a/src/main/java/stileferry/transport/NetworkEnvironment.java
+++ b/src/main/java/stileferry/transport/NetworkEnvironment.java
@@ -62,6 +62,16 @@
         LogLevel.set(level);
     }
 
+    @Override
+    public long usedHeapBytes() {
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    @Override
+    public long maxHeapBytes() {
+        return Runtime.getRuntime().maxMemory();
+    }
+
     @Override
     public void schedule(long delayMs, Runnable task) {
         if (!closed) {
