Recover and keep the event log within the heap of 4,000 machines

Callers saw 503 to every question about accepted jobs for as long as they asked, without any fault, once a leader had to take over the state of some 4,000 machines.

Cause: memory that grows with the ring of 1,024 event records, under the fixed heap of deploy/service.toml. Recovery kept the parsed trees of all prefixes at once and made a full assignment of each event, also of those long settled; a leader kept the parsed tree of each record that it had written, and the assignments of ended tasks until their record was overwritten. The error was swallowed by the I/O thread, and the steps of recovery that were to follow were lost with it.

Now rows are decoded page by page, events into typed entries of 24 to 48 bytes that share the names of machines; only what the replay leaves unsettled becomes an assignment. A record gives up its tree with its write and keeps no tombstones, only whether it has any; events that need not be written again are dropped half a turn of the ring before their record is overwritten. What is stored, and in which order, is as before (golden storage tests). A failed read still starts everything over, and leaves nothing behind.

--- a/src/main/java/stileferry/coordination/StateRecovery.java
+++ b/src/main/java/stileferry/coordination/StateRecovery.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stileferry.cluster.ClusterState;
@@ -20,8 +21,7 @@
 import stileferry.protocol.OperatorSettings;
 import stileferry.storage.CommitQueue;
 import stileferry.storage.KeyValueStoreClient;
-import stileferry.storage.ScanResult;
-import stileferry.storage.StoredEvent;
+import stileferry.storage.ScanSummary;
 
 /** Reads the whole durable state when a leader's term begins, and restores jobs and task assignments from it. */
 final class StateRecovery {
@@ -40,7 +40,7 @@
     private final Listener listener;
     private final long term;
     private final long startedAt;
-    private final List<String> prefixes;
+    private final boolean readsAdmissionShards;
     private int attempts;
     private boolean closed;
 
@@ -96,10 +96,7 @@
         this.cluster = cluster;
         this.commitQueue = commitQueue;
         this.listener = listener;
-        this.prefixes = new ArrayList<>(List.of(Job.KEY_PREFIX, CommitQueue.EVENT_LOG_PREFIX, LEGACY_CHUNK_PREFIX));
-        if (readsAdmissionShards) {
-            prefixes.add(AdmissionCountShards.KEY_PREFIX);
-        }
+        this.readsAdmissionShards = readsAdmissionShards;
     }
 
     void close() {
@@ -109,7 +106,7 @@
     /** Reads the whole state, and starts over after a delay if a read fails. */
     void load() {
         attempts++;
-        read(prefixes, new HashMap<>());
+        new Attempt().readJobs();
     }
 
     private void startOver(String failedRead) {
@@ -117,126 +114,124 @@
         environment.schedule(RETRY_DELAY_MS, this::load);
     }
 
-    /** Reads the remaining prefixes one after another. */
-    private void read(List<String> prefixesLeft, Map<String, List<KeyValue>> rowsByPrefix) {
-        if (prefixesLeft.isEmpty()) {
-            readOperatorSettings(rowsByPrefix);
-            return;
+    /**
+     * One attempt to read everything. What has been read is kept in decoded form only and reaches the cluster state at
+     * the end, so a failed attempt leaves nothing behind.
+     */
+    private final class Attempt {
+        private final Map<String, Job> jobs = new HashMap<>();
+        private final List<String> unreadableJobs = new ArrayList<>();
+        private final List<String> cancelledJobs = new ArrayList<>();
+        private final TaskEventReader events = new TaskEventReader(jobs);
+        private final List<KeyValue> admissionShards = new ArrayList<>();
+
+        void readJobs() {
+            scan(Job.KEY_PREFIX, this::readJob, () -> {
+                listener.cancelledJobs(cancelledJobs);
+                readEventLog();
+            });
         }
-        String prefix = prefixesLeft.get(0);
-        long sentAt = environment.now();
-        store.scan(prefix, true, scan -> {
-            if (closed) {
-                return;
-            }
-            if (scan.rows() == null) {
-                startOver(prefix);
-                return;
-            }
-            logRead(prefix, scan, environment.now() - sentAt);
-            if (prefix.equals(Job.KEY_PREFIX)) {
-                listener.cancelledJobs(cancelledJobs(scan.rows()));
-            }
-            rowsByPrefix.put(prefix, scan.rows());
-            read(prefixesLeft.subList(1, prefixesLeft.size()), rowsByPrefix);
-        });
-    }
-
-    private void logRead(String prefix, ScanResult scan, long tookMs) {
-        LOG.info(
-                "state read: term={} attempt={} prefix={} rows={} revision={} took_ms={} heap_used_mb={}",
-                term,
-                attempts,
-                prefix,
-                scan.rows().size(),
-                scan.revision(),
-                tookMs,
-                environment.usedHeapBytes() / BYTES_PER_MB);
-    }
 
-    private static List<String> cancelledJobs(List<KeyValue> jobs) {
-        List<String> ids = new ArrayList<>();
-        for (KeyValue row : jobs) {
-            if (row.value().path("cancelled").asBoolean()) {
-                ids.add(jobId(row));
-            }
+        private void readEventLog() {
+            scan(
+                    CommitQueue.EVENT_LOG_PREFIX,
+                    row -> events.read(row.key(), row.revision(), row.value()),
+                    this::readLegacyChunks);
         }
-        return ids;
-    }
 
-    private static String jobId(KeyValue row) {
-        return row.key().substring(Job.KEY_PREFIX.length());
-    }
+        private void readLegacyChunks() {
+            scan(
+                    LEGACY_CHUNK_PREFIX,
+                    row -> events.readLegacyChunk(row.key(), row.revision(), row.value()),
+                    readsAdmissionShards ? this::readAdmissionShards : this::readOperatorSettings);
+        }
 
-    private void readOperatorSettings(Map<String, List<KeyValue>> rowsByPrefix) {
-        store.get(LeaderElection.OPERATOR_SETTINGS_KEY, result -> {
-            if (closed) {
-                return;
-            }
-            if (result.found()) {
-                listener.operatorSettings(OperatorSettings.read(result.row().value()));
-            } else if (result.unknown()) {
-                startOver(LeaderElection.OPERATOR_SETTINGS_KEY);
-                return;
-            }
-            long revision = result.found() ? result.row().revision() : 0;
-            restoreState(rowsByPrefix, revision);
-        });
-    }
+        private void readAdmissionShards() {
+            scan(AdmissionCountShards.KEY_PREFIX, admissionShards::add, this::readOperatorSettings);
+        }
 
-    private void restoreState(Map<String, List<KeyValue>> rowsByPrefix, long operatorSettingsRevision) {
-        buildJobs(rowsByPrefix.get(Job.KEY_PREFIX));
-        TaskEventReader reader = new TaskEventReader(cluster.jobs());
-        restoreLegacyChunks(rowsByPrefix.get(LEGACY_CHUNK_PREFIX), reader);
-        restoreEventLog(rowsByPrefix.get(CommitQueue.EVENT_LOG_PREFIX), reader);
-        List<TaskAssignment> assignments = reader.unsettledAssignments();
-        assignments.forEach(cluster::assign);
-        listener.recovered(new Recovered(
-                operatorSettingsRevision,
-                assignments.size(),
-                environment.now() - startedAt,
-                attempts,
-                reader.lastHeartbeats(),
-                rowsByPrefix.getOrDefault(AdmissionCountShards.KEY_PREFIX, List.of())));
-    }
+        private void scan(String prefix, Consumer<KeyValue> onRow, Runnable next) {
+            long sentAt = environment.now();
+            store.scanPages(
+                    prefix,
+                    true,
+                    rows -> {
+                        if (!closed) {
+                            rows.forEach(onRow);
+                        }
+                    },
+                    summary -> {
+                        if (closed) {
+                            return;
+                        }
+                        if (!summary.complete()) {
+                            startOver(prefix);
+                            return;
+                        }
+                        logRead(prefix, summary, environment.now() - sentAt);
+                        next.run();
+                    });
+        }
 
-    private void buildJobs(List<KeyValue> rows) {
-        List<Job> jobs = new ArrayList<>();
-        for (KeyValue row : rows) {
+        private void readJob(KeyValue row) {
+            String id = row.key().substring(Job.KEY_PREFIX.length());
+            if (row.value().path("cancelled").asBoolean()) {
+                cancelledJobs.add(id);
+            }
             try {
-                jobs.add(Job.read(row.value(), row.revision()));
+                jobs.put(id, Job.read(row.value(), row.revision()));
             } catch (InvalidJobSpecException e) {
                 // A user was informed that the job was accepted, so no response may say that it is unknown.
                 LOG.error("stored job is unreadable and can't run: key={} reason={}", row.key(), e.getMessage());
-                cluster.addUnreadableJob(jobId(row));
+                unreadableJobs.add(id);
             }
         }
-        jobs.sort(Comparator.comparingLong(job -> job.submissionOrder()));
-        jobs.forEach(cluster::addJob);
-    }
 
-    private void restoreLegacyChunks(List<KeyValue> rows, TaskEventReader reader) {
-        long number = 0;
-        for (KeyValue row : rows) {
-            String[] key = row.key().split("/");
-            Job job = key.length == 3 ? cluster.jobs().get(key[1]) : null;
-            // A chunk of a job that has ended is restored without events: it is deleted and nothing of it is retained.
-            List<StoredEvent> events = job == null
-                    ? List.of()
-                    : reader.readLegacyChunk(job, Integer.parseInt(key[2]), row.value(), --number);
-            commitQueue.restore(row.key(), row.revision(), number, events);
+        private void readOperatorSettings() {
+            store.get(LeaderElection.OPERATOR_SETTINGS_KEY, result -> {
+                if (closed) {
+                    return;
+                }
+                if (result.unknown()) {
+                    startOver(LeaderElection.OPERATOR_SETTINGS_KEY);
+                    return;
+                }
+                if (result.found()) {
+                    listener.operatorSettings(OperatorSettings.read(result.row().value()));
+                }
+                restoreState(result.found() ? result.row().revision() : 0);
+            });
         }
-    }
 
-    private void restoreEventLog(List<KeyValue> rows, TaskEventReader reader) {
-        rows.sort(Comparator.comparingLong(StateRecovery::recordNumber));
-        for (KeyValue row : rows) {
-            long number = recordNumber(row);
-            commitQueue.restore(row.key(), row.revision(), number, reader.read(row.value(), number));
+        private void restoreState(long operatorSettingsRevision) {
+            unreadableJobs.forEach(cluster::addUnreadableJob);
+            jobs.values().stream()
+                    .sorted(Comparator.comparingLong(Job::submissionOrder))
+                    .forEach(cluster::addJob);
+            events.replay();
+            events.restoreInto(commitQueue::restore);
+            List<TaskAssignment> assignments = events.unsettledAssignments();
+            assignments.forEach(cluster::assign);
+            listener.recovered(new Recovered(
+                    operatorSettingsRevision,
+                    assignments.size(),
+                    environment.now() - startedAt,
+                    attempts,
+                    events.lastHeartbeats(),
+                    admissionShards));
         }
     }
 
-    private static long recordNumber(KeyValue row) {
-        return row.value().path("n").asLong();
+    private void logRead(String prefix, ScanSummary scan, long tookMs) {
+        LOG.info(
+                "state read: term={} attempt={} prefix={} rows={} pages={} revision={} took_ms={} heap_used_mb={}",
+                term,
+                attempts,
+                prefix,
+                scan.rows(),
+                scan.pages(),
+                scan.revision(),
+                tookMs,
+                environment.usedHeapBytes() / BYTES_PER_MB);
     }
 }
--- a/src/main/java/stileferry/storage/EventLog.java
+++ b/src/main/java/stileferry/storage/EventLog.java
@@ -141,6 +141,7 @@
         if (ring[slot] == null) {
             ring[slot] = new EventLogRecord(PREFIX + slot, 0, 0, List.of());
         }
+        dropObsoleteEvents(slot + ring.length / 2);
         EventLogRecord record = ring[slot];
         if (record.entry.inFlight() || record.holdsTombstones() && earlierRecordInFlight(slot)) {
             return null;
@@ -154,6 +155,14 @@
         return overwrite(record, maxChanges);
     }
 
+    /** Frees the memory of obsolete events half a turn of the ring before their record is overwritten. */
+    private void dropObsoleteEvents(int position) {
+        EventLogRecord record = ring[position % ring.length];
+        if (record != null) {
+            record.dropObsoleteEvents();
+        }
+    }
+
     /**
      * Returns whether a record before the slot is in flight. Tombstones may be dropped only once every older record has
      * certainly been overwritten, since it might hold the events that they make obsolete.
--- a/src/main/java/stileferry/storage/EventLogRecord.java
+++ b/src/main/java/stileferry/storage/EventLogRecord.java
@@ -21,12 +21,36 @@
     /** Overflow records with events copied from this record, because it is too large to be copied in one piece. */
     final List<EventLogRecord> overflow = new ArrayList<>();
 
-    private ObjectNode value = MessageCodec.map();
+    private boolean holdsTombstones;
+
+    /** The value that the next write stores; null once it has been taken. */
+    private ObjectNode value;
 
     EventLogRecord(String key, long revision, long number, List<StoredEvent> events) {
-        this.entry = new StoredEntry(key, revision, () -> this.value);
+        this.entry = new StoredEntry(key, revision, this::takeValue);
         this.number = number;
-        this.events = events;
+        setEvents(events);
+    }
+
+    /** Returns the value once: a record is written once for each of its contents, and the tree is large. */
+    private ObjectNode takeValue() {
+        ObjectNode taken = value;
+        value = null;
+        return taken;
+    }
+
+    /** Keeps all events but tombstones, of which it only matters whether there are any. */
+    private void setEvents(List<StoredEvent> newEvents) {
+        holdsTombstones = newEvents.stream().anyMatch(StoredEvent::isTombstone);
+        events = new ArrayList<>(newEvents);
+        events.removeIf(StoredEvent::isTombstone);
+    }
+
+    /** Drops the events that need not be written again, which never become needed later. */
+    void dropObsoleteEvents() {
+        if (events.removeIf(event -> event.retainedFrom(number) == null)) {
+            events = new ArrayList<>(events);
+        }
     }
 
     /** Returns the events that must be written again when this record is overwritten. */
@@ -48,7 +72,7 @@
     }
 
     boolean holdsTombstones() {
-        return events.stream().anyMatch(StoredEvent::isTombstone);
+        return holdsTombstones;
     }
 
     boolean overflowInFlight() {
@@ -58,7 +82,7 @@
     /** Replaces the contents; the new value is what the next write of {@link #entry} stores. */
     void overwrite(Contents contents) {
         number = contents.number;
-        events = contents.events;
+        setEvents(contents.events);
         value = contents.value();
         overflow.clear();
     }
--- a/src/main/java/stileferry/storage/KeyValueStoreClient.java
+++ b/src/main/java/stileferry/storage/KeyValueStoreClient.java
@@ -125,33 +125,59 @@
                         (status, body) -> reply.accept(KeyValueStoreProtocol.readResult(status, body))));
     }
 
-    /** Reads all keys with a prefix, page by page; the reply is a failed result if any page can't be read. */
+    /** Reads all keys with a prefix; the reply is a failed result if any page can't be read. */
     public void scan(String prefix, boolean urgent, Consumer<ScanResult> reply) {
-        scanPage(prefix, "", urgent, new ScanResult(new ArrayList<>(), 0, 0), reply);
+        List<KeyValue> rows = new ArrayList<>();
+        scanPages(
+                prefix,
+                urgent,
+                rows::addAll,
+                summary -> reply.accept(
+                        summary.complete()
+                                ? new ScanResult(rows, summary.revision(), summary.firstRevision())
+                                : ScanResult.FAILED));
+    }
+
+    /**
+     * Reads all keys with a prefix, without keeping the rows of more than one page.
+     *
+     * @param onPage receives the rows of each page
+     * @param onEnd runs once, after the last page or after the first one that can't be read
+     */
+    public void scanPages(String prefix, boolean urgent, Consumer<List<KeyValue>> onPage, Consumer<ScanSummary> onEnd) {
+        scanPage(new Scan(prefix, urgent, onPage, onEnd), "", ScanSummary.BEFORE_FIRST_PAGE);
     }
 
-    private void scanPage(
-            String prefix, String after, boolean urgent, ScanResult previous, Consumer<ScanResult> reply) {
-        String path = KeyValueStoreProtocol.scanPath(prefix, after, SCAN_PAGE_ROWS);
+    private record Scan(String prefix, boolean urgent, Consumer<List<KeyValue>> onPage, Consumer<ScanSummary> onEnd) {}
+
+    private void scanPage(Scan scan, String after, ScanSummary previous) {
+        String path = KeyValueStoreProtocol.scanPath(scan.prefix, after, SCAN_PAGE_ROWS);
         send(
                 0,
-                urgent,
-                () -> environment.request(address, "GET", path, null, 2 * timeoutMs, (status, body) -> {
+                scan.urgent,
+                () -> environment.request(address, "GET", path, null, scanTimeoutMs(), (status, body) -> {
                     ScanPage page = KeyValueStoreProtocol.scanPage(status, body);
                     if (page == null) {
-                        reply.accept(ScanResult.FAILED);
+                        scan.onEnd.accept(previous);
                         return;
                     }
-                    ScanResult result = previous.with(page, after.isEmpty());
+                    scan.onPage.accept(page.rows());
                     String last = page.rows().isEmpty() ? after : lastKey(page);
-                    if (page.hasMore() && !last.equals(after)) {
-                        scanPage(prefix, last, urgent, result, reply);
+                    boolean isLast = !page.hasMore() || last.equals(after);
+                    ScanSummary summary = previous.with(page, isLast);
+                    if (isLast) {
+                        scan.onEnd.accept(summary);
                     } else {
-                        reply.accept(result);
+                        scanPage(scan, last, summary);
                     }
                 }));
     }
 
+    /** Returns after how many milliseconds the read of one page of a scan has failed. */
+    public long scanTimeoutMs() {
+        return 2 * timeoutMs;
+    }
+
     private static String lastKey(ScanPage page) {
         List<KeyValue> rows = page.rows();
         return rows.get(rows.size() - 1).key();
--- a/src/main/java/stileferry/storage/ScanResult.java
+++ b/src/main/java/stileferry/storage/ScanResult.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import stileferry.protocol.KeyValue;
-import stileferry.protocol.KeyValueStoreProtocol.ScanPage;
 
 /**
  * The rows of all keys with a prefix, read in pages.
@@ -20,10 +19,4 @@
     public boolean failed() {
         return rows == null;
     }
-
-    /** Adds the rows of one more page and returns the result with that page's revision. */
-    ScanResult with(ScanPage page, boolean isFirst) {
-        rows.addAll(page.rows());
-        return new ScanResult(rows, page.revision(), isFirst ? page.revision() : firstRevision);
-    }
 }
--- a/src/test/java/stileferry/lifecycle/TaskEventsTest.java
+++ b/src/test/java/stileferry/lifecycle/TaskEventsTest.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,7 +23,6 @@
 import stileferry.protocol.JobSpecBuilder;
 import stileferry.protocol.MessageCodec;
 import stileferry.storage.EventLog;
-import stileferry.storage.StoredEvent;
 
 /** Checks that the stored task events, read back after any write, yield the state at that write. */
 class TaskEventsTest {
@@ -67,15 +65,12 @@
         TaskEventReader reader = new TaskEventReader(jobs);
         store.entrySet().stream()
                 .filter(entry -> entry.getKey().startsWith("l/"))
-                .sorted(Comparator.comparingLong(
-                        entry -> entry.getValue().path("n").asLong()))
-                .forEach(entry -> {
-                    long number = entry.getValue().path("n").asLong();
-                    List<StoredEvent> events = reader.read(entry.getValue(), number);
-                    if (log != null) {
-                        log.restore(entry.getKey(), 1, number, events);
-                    }
-                });
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(entry -> reader.read(entry.getKey(), 1, entry.getValue()));
+        reader.replay();
+        if (log != null) {
+            reader.restoreInto(log::restore);
+        }
         return reader;
     }
 
@@ -311,7 +306,9 @@
         EventLog log = new EventLog(MAX_VALUE_KB, SLOTS, "t");
         TaskEventReader reader = new TaskEventReader(Map.of("job-0", job));
         store.put("c/job-0/1", chunk);
-        log.restore("c/job-0/1", 5, -1, reader.readLegacyChunk(job, 1, chunk, -1));
+        reader.readLegacyChunk("c/job-0/1", 5, chunk);
+        reader.replay();
+        reader.restoreInto(log::restore);
         assertEquals("{128, 138, 143}", job.completedTasks().indexes().toString());
         assertEquals(44, reader.unsettledAssignments().size());
         reader.unsettledAssignments().forEach(job::addAssignment);
