--- a/src/main/java/stileferry/standin/LinkFaults.java
+++ b/src/main/java/stileferry/standin/LinkFaults.java
@@ -26,7 +26,13 @@
         ANSWER_LOST,
 
         /** The request is processed and its response arrives, but late. */
-        SLOW
+        SLOW,
+
+        /**
+         * The message arrives late: a transaction or a direct command is processed seconds later, without a response; a
+         * heartbeat is answered, and a copy of it arrives again later.
+         */
+        LATE
     }
 
     /**
--- a/src/main/java/stileferry/transport/StandInServer.java
+++ b/src/main/java/stileferry/transport/StandInServer.java
@@ -6,11 +6,13 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import stileferry.protocol.Environment;
 import stileferry.protocol.InvalidJobSpecException;
 import stileferry.protocol.JobSpec;
+import stileferry.protocol.KeyValueStoreProtocol;
 import stileferry.protocol.MessageCodec;
 import stileferry.standin.Cloud;
 import stileferry.standin.KeyValueStore;
@@ -34,6 +36,11 @@
     /** Delay that a slow link adds to a request. */
     static final long SLOW_LINK_DELAY_MS = 1500;
 
+    /** Bounds of the delay after which a late transaction or command is processed. */
+    static final long MIN_LATE_MS = 2000;
+
+    static final long MAX_LATE_MS = 12_000;
+
     private static final long TICK_INTERVAL_MS = 50;
     private static final String LOOPBACK = "127.0.0.1";
     private static final byte[] NO_BODY = new byte[0];
@@ -45,6 +52,11 @@
     private final StandInWorkers workers;
     private final LinkFaults faults;
     private final Undertow server;
+    private final SplittableRandom random = new SplittableRandom();
+
+    /** Used on the IO thread only. */
+    private boolean storeDown;
+
     private volatile boolean closed;
 
     /**
@@ -126,6 +138,30 @@
         loop.ioThread().execute(() -> store.setLimits(maxOperations, maxValueKb));
     }
 
+    /** Begins an outage of the key-value store for everybody. */
+    public void beginStoreOutage() {
+        loop.ioThread().execute(() -> storeDown = true);
+    }
+
+    /** Ends an outage of the key-value store, after which each lease has its full time again. */
+    public void endStoreOutage() {
+        loop.ioThread().execute(() -> {
+            storeDown = false;
+            store.renewAllLeases(now());
+        });
+    }
+
+    /** Suspends the tasks of some of the running machines until the time is over; their agents go on reporting. */
+    public void hangMachines(int count, long forMs) {
+        loop.ioThread().execute(() -> workers.hang(count, now() + forMs));
+    }
+
+    /** Reclaims some of the running machines without notice. */
+    public void reclaimMachines(int count) {
+        loop.ioThread()
+                .execute(() -> cloud.runningMachines().stream().limit(count).forEach(cloud::reclaim));
+    }
+
     /** Returns the address of the key-value store and the cloud, as host:port. */
     public String address() {
         return LOOPBACK + ":" + port;
@@ -139,7 +175,9 @@
         if (closed) {
             return;
         }
-        store.tick(now());
+        if (!storeDown) {
+            store.tick(now());
+        }
         cloud.tick(now());
         workers.tick();
         loop.ioThread().executeAfter(this::tick, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -178,9 +216,32 @@
             case ANSWER_LOST -> serve(request, (status, response) -> {});
             case SLOW ->
                 loop.ioThread().executeAfter(() -> serve(request, reply), SLOW_LINK_DELAY_MS, TimeUnit.MILLISECONDS);
+            case LATE -> {
+                if (mayBeLate(request)) {
+                    serveLate(request);
+                } else {
+                    serve(request, reply);
+                }
+            }
         }
     }
 
+    /** Returns whether the protocol lets the request take effect after its sender has given up. */
+    private static boolean mayBeLate(Request request) {
+        String path = request.exchange().getRequestPath();
+        return path.equals(KeyValueStoreProtocol.COMMIT_PATH) || path.equals("/commands");
+    }
+
+    private void serveLate(Request request) {
+        String method = request.exchange().getRequestMethod().toString();
+        String path = request.exchange().getRequestPath();
+        loop.ioThread()
+                .executeAfter(
+                        () -> serve(request, method, path, (status, response) -> {}),
+                        random.nextLong(MIN_LATE_MS, MAX_LATE_MS),
+                        TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Returns the name of a request's destination as {@link LinkFaults} knows it, or an empty string if there is no
      * such worker.
@@ -195,15 +256,25 @@
 
     private void serve(Request request, Environment.ResponseHandler reply) {
         HttpServerExchange exchange = request.exchange();
-        JsonNode body = request.body().length == 0 ? MessageCodec.map() : MessageCodec.decode(request.body());
         String path = exchange.getRequestPath();
         String query = exchange.getQueryString();
-        String pathAndQuery = query.isEmpty() ? path : path + "?" + query;
-        String method = exchange.getRequestMethod().toString();
+        serve(request, exchange.getRequestMethod().toString(), query.isEmpty() ? path : path + "?" + query, reply);
+    }
+
+    private void serve(Request request, String method, String pathAndQuery, Environment.ResponseHandler reply) {
+        JsonNode body = request.body().length == 0 ? MessageCodec.map() : MessageCodec.decode(request.body());
         switch (request.destination()) {
-            case WORKER -> serveWorker(request.worker(), path, body, reply);
+            case WORKER -> serveWorker(request.worker(), pathAndQuery, body, reply);
             case CLOUD -> cloud.handleRequest(method, pathAndQuery, body, reply);
-            case STORE -> store.handleRequest(method, pathAndQuery, body, reply);
+            case STORE -> serveStore(method, pathAndQuery, body, reply);
+        }
+    }
+
+    private void serveStore(String method, String path, JsonNode body, Environment.ResponseHandler reply) {
+        if (storeDown) {
+            reply.onResponse(503, null);
+        } else {
+            store.handleRequest(method, path, body, reply);
         }
     }
 
--- a/src/main/java/stileferry/transport/StandInWorkers.java
+++ b/src/main/java/stileferry/transport/StandInWorkers.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import stileferry.protocol.ApiPaths;
@@ -39,6 +40,7 @@
     private final GangSimulation gangs =
             new GangSimulation(StandInServer.GANG_ASSEMBLY_TIMEOUT_S, StandInServer.GANG_LOSS_DETECTION_S);
     private final Map<String, Worker> byAddress = new HashMap<>();
+    private final SplittableRandom random = new SplittableRandom();
     private int bootedWorkers;
     private volatile boolean closed;
 
@@ -92,6 +94,11 @@
         List.copyOf(byAddress.values()).forEach(worker -> worker.tick(StandInServer.now()));
     }
 
+    /** Suspends the tasks of some workers until a given time. */
+    void hang(int count, long until) {
+        byAddress.values().stream().limit(count).forEach(worker -> worker.hangUntil(until));
+    }
+
     void close() {
         closed = true;
     }
@@ -136,6 +143,10 @@
                 sendHeartbeatLater(
                         RESPONSE_TIMEOUT_MS + NEXT_CONTROLLER_DELAY_MS, worker, nextController(controllerIndex));
             case ANSWER_LOST -> postHeartbeat(worker, controllerIndex, true);
+            case LATE -> {
+                postCopyLater(worker);
+                postHeartbeat(worker, controllerIndex, false);
+            }
             case SLOW ->
                 loop.ioThread()
                         .executeAfter(
@@ -145,6 +156,25 @@
         }
     }
 
+    /** Sends a copy of the worker's present state to any controller, seconds later, and ignores the response. */
+    private void postCopyLater(Worker worker) {
+        byte[] copy = MessageCodec.encode(worker.heartbeat());
+        int controllerIndex = random.nextInt(config.controllerAddresses().size());
+        loop.ioThread()
+                .executeAfter(
+                        () -> loop.httpClient()
+                                .request(
+                                        config.controllerAddresses().get(controllerIndex),
+                                        "POST",
+                                        ApiPaths.HEARTBEATS,
+                                        copy,
+                                        RESPONSE_TIMEOUT_MS,
+                                        (status, bytes) -> {}),
+                        random.nextLong(
+                                StandInServer.MIN_LATE_MS, 2 * config.size().leaseMs()),
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void postHeartbeat(Worker worker, int controllerIndex, boolean responseLost) {
         long sentAt = StandInServer.now();
         long incarnation = worker.incarnation();
--- a/src/test/java/stileferry/cli/ControllerProcess.java
+++ b/src/test/java/stileferry/cli/ControllerProcess.java
@@ -56,6 +56,13 @@
         return process != null && process.isAlive();
     }
 
+    /** Starts the process if it is not running, as a service manager would. */
+    synchronized void startUnlessRunning() throws IOException {
+        if (!running()) {
+            start();
+        }
+    }
+
     /** Kills the process without a signal that it could handle, if it runs. */
     void kill() throws InterruptedException {
         if (process != null) {
--- a/src/test/java/stileferry/cli/LinkRelay.java
+++ b/src/test/java/stileferry/cli/LinkRelay.java
@@ -15,6 +15,7 @@
 /** A TCP relay between two controllers that injects faults into the link on demand. */
 final class LinkRelay implements AutoCloseable {
     private static final long SLOW_LINK_DELAY_MS = 1500;
+    private static final long HOLD_CHECK_MS = 20;
 
     private final ServerSocket server;
     private final InetSocketAddress target;
@@ -74,6 +75,10 @@
                 OutputStream out = to.getOutputStream()) {
             for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
                 Effect current = effect.get();
+                while (current == Effect.LATE) { // held back, also when the sender has given up meanwhile
+                    Thread.sleep(HOLD_CHECK_MS);
+                    current = effect.get();
+                }
                 if (current == Effect.SLOW) {
                     Thread.sleep(SLOW_LINK_DELAY_MS);
                 }
--- a/src/test/java/stileferry/cli/TaskHistory.java
+++ b/src/test/java/stileferry/cli/TaskHistory.java
@@ -19,12 +19,17 @@
 
     @Override
     public synchronized void taskStarted(String task, Worker worker) {
-        add(new Entry(System.nanoTime() / 1_000_000, task, worker.machine(), true));
+        add(new Entry(now(), task, worker.machine(), true));
     }
 
     @Override
     public synchronized void taskEnded(String task, Worker worker) {
-        add(new Entry(System.nanoTime() / 1_000_000, task, worker.machine(), false));
+        add(new Entry(now(), task, worker.machine(), false));
+    }
+
+    /** Returns the time in milliseconds on the clock of the entries. */
+    static long now() {
+        return System.nanoTime() / 1_000_000;
     }
 
     synchronized void add(Entry entry) {
