Log slow scheduling passes and a late event loop

A pass of more than 300 ms and timers late by more than a fifth of a heartbeat interval are logged now, with the sizes and the heap.

--- a/src/main/java/stileferry/coordination/SchedulingLoop.java
+++ b/src/main/java/stileferry/coordination/SchedulingLoop.java
@@ -1,5 +1,7 @@
 package stileferry.coordination;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stileferry.cluster.ClusterState;
 import stileferry.heartbeat.EventLoopLag;
 import stileferry.protocol.Environment;
@@ -9,9 +11,14 @@
 
 /** Runs a leader's scheduling passes: at regular intervals, and on request soon after something has changed. */
 final class SchedulingLoop {
+    private static final Logger LOG = LoggerFactory.getLogger("leader");
+
     /** Requests for a pass within this time are served by one pass. */
     private static final long COALESCING_DELAY_MS = 20;
 
+    /** Passes that take longer are logged: the leader answers nobody meanwhile. */
+    private static final long SLOW_PASS_MS = 300;
+
     /**
      * Minimum pause between passes, as a multiple of the duration of the last pass, so that heartbeats and lease
      * renewals are processed in between. It applies to requested passes, and to regular ones where the caller asks for
@@ -24,6 +31,7 @@
 
     private final Environment environment;
     private final EventLoopLag eventLoopLag;
+    private final ClusterState cluster;
     private final CommitQueue commitQueue;
     private final Placement placement;
     private final SchedulingPass schedulingPass;
@@ -56,6 +64,7 @@
             Callbacks callbacks) {
         this.environment = environment;
         this.eventLoopLag = eventLoopLag;
+        this.cluster = cluster;
         this.commitQueue = commitQueue;
         this.placement = placement;
         this.schedulingPass = schedulingPass;
@@ -101,6 +110,14 @@
         }
         lastPassAt = environment.now();
         lastPassTookMs = lastPassAt - startedAt;
+        if (lastPassTookMs > SLOW_PASS_MS) {
+            LOG.info(
+                    "slow scheduling pass: took_ms={} regular={} jobs={} machines={}",
+                    lastPassTookMs,
+                    regular,
+                    cluster.jobs().size(),
+                    cluster.machines().size());
+        }
         if (placement.stoppedEarly()) {
             requestPass();
         }
--- a/src/main/java/stileferry/heartbeat/EventLoopLag.java
+++ b/src/main/java/stileferry/heartbeat/EventLoopLag.java
@@ -1,5 +1,7 @@
 package stileferry.heartbeat;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stileferry.protocol.Environment;
 
 /**
@@ -7,7 +9,10 @@
  * timers late; an overloaded controller then works in cheaper, somewhat slower ways.
  */
 public final class EventLoopLag {
+    private static final Logger LOG = LoggerFactory.getLogger("coordinator");
+
     private static final int SAMPLES_PER_HEARTBEAT = 10;
+    private static final long BYTES_PER_MB = 1024 * 1024;
 
     /** Share of the heartbeat interval; with a lag above it the process is overloaded. */
     private static final double OVERLOAD_LAG_SHARE = 0.2;
@@ -43,6 +48,12 @@
             long sample = Math.max(0, environment.now() - due);
             lagMs = Math.max(sample, DECAY_PER_SAMPLE * lagMs);
             maxLagMs = Math.max(maxLagMs, sample);
+            if (sample > overloadThresholdMs) {
+                LOG.info(
+                        "event loop late: late_ms={} heap_used_mb={}",
+                        sample,
+                        environment.usedHeapBytes() / BYTES_PER_MB);
+            }
             start();
         });
     }
