Give a leader that stalls repeatedly a lease that outlasts its stalls

Log: "right to answer users changed ... reason=lease_not_held previous=granted previous_ms=1249", timers late by 0.9 to 1.6 s.

Cause: a lapsed right. The lease of 0.6 heartbeat intervals, 1.5 s at most, grows with a small share of a core, which the settings tell, but not with the size of the fleet, which they don't: passes, heartbeats that each open a connection, and collections of garbage keep the event loop busy for longer.

Now a process remembers by how much its renewals were late when a lease lapsed. If that happens twice within two minutes, its next lease lasts three times the shorter of both stalls, within a third of a worker's lease as before. A single stall, such as a suspended process, changes nothing; neither does a store that does not answer. A lease counts from its own duration, whatever it is, so nothing in the proofs changes.

--- a/src/main/java/stileferry/leadership/LeaderCampaign.java
+++ b/src/main/java/stileferry/leadership/LeaderCampaign.java
@@ -1,5 +1,6 @@
 package stileferry.leadership;
 
+import java.util.function.LongSupplier;
 import stileferry.links.LinkHealth;
 import stileferry.protocol.Environment;
 import stileferry.protocol.KeyValue;
@@ -33,7 +34,7 @@
     private final String node;
     private final LinkHealth links;
     private final boolean countsAdmissions;
-    private final long leaseDurationMs;
+    private final LongSupplier leaseDurationMs;
     private final Listener listener;
     private int generation;
 
@@ -57,8 +58,9 @@
      *
      * @param revision the revision of the leader key
      * @param requestedAt when the lease was requested, in {@link Environment#now} time
+     * @param leaseDurationMs the duration with which it was requested
      */
-    record Win(TermRecord term, long revision, String leaseId, long requestedAt) {}
+    record Win(TermRecord term, long revision, String leaseId, long requestedAt, long leaseDurationMs) {}
 
     LeaderCampaign(
             Environment environment,
@@ -66,7 +68,7 @@
             String node,
             LinkHealth links,
             boolean countsAdmissions,
-            long leaseDurationMs,
+            LongSupplier leaseDurationMs,
             Listener listener) {
         this.environment = environment;
         this.store = store;
@@ -172,36 +174,40 @@
 
     private void campaign(int stepGeneration, TermRecord storedTerm) {
         long requestedAt = environment.now();
-        store.grantLease(leaseDurationMs, lease -> {
+        long durationMs = leaseDurationMs.getAsLong();
+        store.grantLease(durationMs, lease -> {
             if (generation != stepGeneration) {
                 return;
             }
             if (lease == null) {
                 checkLater(REQUEST_FAILED_RETRY_MS, stepGeneration);
             } else {
-                writeLeaderKey(stepGeneration, storedTerm, lease, requestedAt);
+                writeLeaderKey(stepGeneration, storedTerm, new RequestedLease(lease, requestedAt, durationMs));
             }
         });
     }
 
-    private void writeLeaderKey(int stepGeneration, TermRecord storedTerm, LeaseGrant lease, long requestedAt) {
+    private record RequestedLease(LeaseGrant grant, long requestedAt, long durationMs) {}
+
+    private void writeLeaderKey(int stepGeneration, TermRecord storedTerm, RequestedLease lease) {
+        String leaseId = lease.grant.id();
         long term = Math.max(listener.term(), storedTerm.term()) + 1;
         TermRecord next = storedTerm.next(term, countsAdmissions);
-        LeaderRecord leader = new LeaderRecord(node, term, lease.id());
+        LeaderRecord leader = new LeaderRecord(node, term, leaseId);
         CommitRequest request = new CommitRequest()
                 .compare(LeaderElection.LEADER_KEY, 0)
                 .compare(LeaderElection.TERM_KEY, storedTerm.revision())
-                .put(LeaderElection.LEADER_KEY, leader.write(), lease)
+                .put(LeaderElection.LEADER_KEY, leader.write(), lease.grant)
                 .put(LeaderElection.TERM_KEY, next.write());
         store.commit(request, true, result -> {
             if (generation != stepGeneration) {
                 return;
             }
             if (result.outcome() == CommitResult.Outcome.APPLIED) {
-                listener.won(new Win(next, result.revision(), lease.id(), requestedAt));
+                listener.won(new Win(next, result.revision(), leaseId, lease.requestedAt, lease.durationMs));
             } else {
                 // If the outcome is unknown and the key was written, the next check finds it and revokes its lease.
-                store.revokeLease(lease.id(), () -> {});
+                store.revokeLease(leaseId, () -> {});
                 checkLater(CAMPAIGN_LOST_RETRY_MS, stepGeneration);
             }
         });
--- a/src/main/java/stileferry/leadership/LeaderElection.java
+++ b/src/main/java/stileferry/leadership/LeaderElection.java
@@ -83,7 +83,7 @@
                 settings.controllerName(),
                 links,
                 countsAdmissions,
-                lease.durationMs(),
+                lease::nextDurationMs,
                 forCampaign());
         this.cancellations = new CancellationQuorum(environment, settings);
         this.announcements = new PeerAnnouncements(environment, settings, links, this, cancellations);
@@ -113,7 +113,7 @@
         };
     }
 
-    /** Returns the duration of the leader key's lease in milliseconds. */
+    /** Returns the shortest duration of the leader key's lease in milliseconds. */
     public static long leaseDurationMs(Settings settings) {
         return LeaderLease.durationMs(settings);
     }
@@ -282,7 +282,7 @@
         cancellations.beginTerm();
         LOG.info("leader elected: term={}", term);
         campaign.stop();
-        lease.begin(win.leaseId(), term, win.requestedAt());
+        lease.begin(win.leaseId(), term, win.requestedAt(), win.leaseDurationMs());
         announcements.announceToAll();
         listener.elected(term, win.revision());
     }
--- a/src/main/java/stileferry/leadership/LeaderLease.java
+++ b/src/main/java/stileferry/leadership/LeaderLease.java
@@ -34,20 +34,34 @@
 
     private static final int RENEWALS_PER_LEASE = 5;
 
+    /** Length of a lease in stalls: a renewal may be sent one stall late, and its response processed another late. */
+    private static final double DURATION_IN_STALLS = 3;
+
+    /** Share of the lease; a renewal that is sent later than this was delayed by this process. */
+    private static final double STALL_SHARE = 0.5;
+
     /** Margin for a worker that notices late that its lease has ended and then has many tasks to stop. */
     private static final long WORKER_LEASE_SLACK_MS = 1000;
 
     private final Environment environment;
     private final KeyValueStoreClient store;
     private final Runnable onExpired;
-    private final long durationMs;
+    private final long shortestDurationMs;
+    private final long longestDurationMs;
     private final long workerRenewalGraceMs;
+    private final StallHistory stalls;
+
+    /** Duration of the current lease. */
+    private long durationMs;
 
     private boolean active;
     private String id;
     private long term;
     private long heldUntil;
 
+    /** The longest time by which a renewal of the current lease was sent late, since its last lapse. */
+    private long longestStallMs;
+
     /** Incremented with each lease, so that renewals of an earlier lease stop. */
     private int generation;
 
@@ -60,7 +74,9 @@
         this.environment = environment;
         this.store = store;
         this.onExpired = onExpired;
-        this.durationMs = durationMs(settings);
+        this.shortestDurationMs = durationMs(settings);
+        this.longestDurationMs = Math.max(shortestDurationMs, maxDurationMs(settings));
+        this.stalls = new StallHistory(environment);
         this.workerRenewalGraceMs = workerRenewalGraceMs(settings);
     }
 
@@ -71,10 +87,20 @@
     static long durationMs(Settings settings) {
         double preferredMs = settings.workers().heartbeatIntervalS() * DURATION_IN_HEARTBEAT_INTERVALS * 1000;
         double unscaledMs = Math.max(MIN_DURATION_MS, Math.min(MAX_UNSCALED_DURATION_MS, preferredMs));
-        double maxMs = Math.max(unscaledMs, settings.workers().leaseS() * 1000 * MAX_DURATION_IN_WORKER_LEASES);
+        double maxMs = Math.max(unscaledMs, maxDurationMs(settings));
         return Math.round(Math.min(maxMs, unscaledMs * settings.slowdownFactor()));
     }
 
+    private static long maxDurationMs(Settings settings) {
+        return Math.round(settings.workers().leaseS() * 1000 * MAX_DURATION_IN_WORKER_LEASES);
+    }
+
+    /** Returns the duration of the next lease to request: longer if this process stalls repeatedly. */
+    long nextDurationMs() {
+        long neededMs = Math.round(DURATION_IN_STALLS * stalls.repeatedMs());
+        return Math.min(longestDurationMs, Math.max(shortestDurationMs, neededMs));
+    }
+
     /**
      * Returns for how many milliseconds after a given time workers' leases may be renewed regardless of cancellations
      * after that time: even with the worst clock drift, a lease renewed within this period ends within {@code cancel_s}
@@ -90,25 +116,34 @@
      * Starts to renew the lease with which the leader key was acquired.
      *
      * @param requestedAt when the lease was requested, in {@link Environment#now} time
+     * @param grantedMs the duration with which it was requested
      */
-    void begin(String leaseId, long wonTerm, long requestedAt) {
+    void begin(String leaseId, long wonTerm, long requestedAt, long grantedMs) {
         active = true;
         id = leaseId;
         term = wonTerm;
+        durationMs = grantedMs;
+        longestStallMs = 0;
         heldUntil = 0;
         extend(requestedAt);
-        int leaseGeneration = ++generation;
-        environment.schedule(durationMs / RENEWALS_PER_LEASE, () -> renew(leaseGeneration));
+        scheduleRenewal(++generation);
     }
 
     /** Stops renewals, because this controller no longer leads. */
     void end() {
+        if (active && !held()) {
+            recordLapse();
+        }
         active = false;
         heldUntil = 0;
     }
 
-    long durationMs() {
-        return durationMs;
+    /** Records that the lease was not renewed in time, if that is because this process stalled. */
+    private void recordLapse() {
+        if (longestStallMs > STALL_SHARE * durationMs) {
+            stalls.record(longestStallMs);
+            longestStallMs = 0;
+        }
     }
 
     String id() {
@@ -133,18 +168,25 @@
     }
 
     /** Renews even if the previous renewal has received no response: a store that is slow at times is not down. */
-    private void renew(int leaseGeneration) {
+    private void renew(int leaseGeneration, long dueAt) {
         if (!isCurrent(leaseGeneration)) {
             return;
         }
         long sentAt = environment.now();
+        longestStallMs = Math.max(longestStallMs, sentAt - dueAt);
         boolean heldBefore = held();
         store.renewLease(id, durationMs, renewal -> {
             if (isCurrent(leaseGeneration)) {
                 handleRenewalResult(renewal, sentAt, heldBefore);
             }
         });
-        environment.schedule(durationMs / RENEWALS_PER_LEASE, () -> renew(leaseGeneration));
+        scheduleRenewal(leaseGeneration);
+    }
+
+    private void scheduleRenewal(int leaseGeneration) {
+        long delayMs = durationMs / RENEWALS_PER_LEASE;
+        long dueAt = environment.now() + delayMs;
+        environment.schedule(delayMs, () -> renew(leaseGeneration, dueAt));
     }
 
     private boolean isCurrent(int leaseGeneration) {
@@ -155,7 +197,12 @@
         switch (renewal.outcome()) {
             case RENEWED -> {
                 if (!held()) {
-                    LOG.info("leader lease renewed after a gap, still leading: term={}", term);
+                    LOG.info(
+                            "leader lease renewed after a gap, still leading: term={} lease_ms={} stall_ms={}",
+                            term,
+                            durationMs,
+                            longestStallMs);
+                    recordLapse();
                 }
                 extend(sentAt);
             }
--- a/src/test/java/stileferry/coordination/FailoverTest.java
+++ b/src/test/java/stileferry/coordination/FailoverTest.java
@@ -25,6 +25,28 @@
         assertFalse(firstLeader.up());
     }
 
+    /** Guards against leaders that change one after the other because each stalls longer than its lease. */
+    @Test
+    void leadersThatStallAtSizeDoNotChangeOneAfterTheOther() {
+        SimulatedCluster cluster = BusyCluster.withLongJobs(41);
+        stallLeaders(cluster, 15);
+        long term = cluster.term();
+        cluster.faults.endedAt = cluster.now;
+        stallLeaders(cluster, 45);
+        assertEquals(term, cluster.term());
+        assertEquals(List.of(), cluster.violations);
+    }
+
+    /** Makes the leader of the moment stall for longer than the lease that it begins with, every 4 s. */
+    private static void stallLeaders(SimulatedCluster cluster, int times) {
+        for (int i = 0; i < times; i++) {
+            if (cluster.leader() != null) {
+                cluster.leader().environment.pause(1600);
+            }
+            cluster.runFor(4);
+        }
+    }
+
     /** Guards against a commit that fails because its record was deleted while the previous commit was in flight. */
     @Test
     void aHealthyLeaderKeepsItsTerm() {
