--- a/src/test/java/stileferry/cli/FullStore.java
+++ b/src/test/java/stileferry/cli/FullStore.java
@@ -45,7 +45,7 @@
         int tasks = machines * tasksPerMachine;
         List<String> jobs = new ArrayList<>();
         for (int i = 0; i < tasks / TASKS_PER_JOB; i++) {
-            jobs.add("job-" + (100_000 + i));
+            jobs.add(jobId(i));
             Job job = new Job(spec(jobs.get(i)), i, System.currentTimeMillis(), 0);
             put(Job.key(jobs.get(i)), job.entry().value(), JOBS_PER_TRANSACTION);
         }
@@ -62,6 +62,23 @@
         return jobs;
     }
 
+    static String machineName(int machine) {
+        return "host-%06d".formatted(machine);
+    }
+
+    /** Returns the ids of the tasks that are assigned to a machine. */
+    static List<String> tasksOf(int machine, int machines, int tasksPerMachine) {
+        List<String> tasks = new ArrayList<>();
+        for (int task = machine; task < machines * tasksPerMachine; task += machines) {
+            tasks.add(jobId(task / TASKS_PER_JOB) + "/" + task % TASKS_PER_JOB);
+        }
+        return tasks;
+    }
+
+    private static String jobId(int number) {
+        return "job-" + (100_000 + number);
+    }
+
     private static JobSpec spec(String id) {
         return JobSpecBuilder.of(JobSpec.Kind.ARRAY, id)
                 .team("blue")
@@ -80,7 +97,7 @@
         int bytes = RECORD_OVERHEAD_BYTES;
         for (int task = firstTask; task < endTask; task++) {
             String job = jobs.get(task / TASKS_PER_JOB);
-            String machine = "host-%06d".formatted(task % machines);
+            String machine = machineName(task % machines);
             events.addArray()
                     .add(0)
                     .add(job)
