Count the wait for a renewal's response among what makes a renewal slow

A renewal counts from when it was due until its response was processed; one without a response until it was sent, so that a store that does not answer still changes nothing.

--- a/src/main/java/stileferry/leadership/LeaderLease.java
+++ b/src/main/java/stileferry/leadership/LeaderLease.java
@@ -34,11 +34,11 @@
 
     private static final int RENEWALS_PER_LEASE = 5;
 
-    /** Length of a lease in stalls: a renewal may be sent one stall late, and its response processed another late. */
-    private static final double DURATION_IN_STALLS = 3;
+    /** Length of a lease in slow renewals, so that another one may be as slow and the next still arrives in time. */
+    private static final double DURATION_IN_SLOW_RENEWALS = 3;
 
-    /** Share of the lease; a renewal that is sent later than this was delayed by this process. */
-    private static final double STALL_SHARE = 0.5;
+    /** Share of the lease; a renewal that takes longer is slow. */
+    private static final double SLOW_RENEWAL_SHARE = 0.5;
 
     /** Margin for a worker that notices late that its lease has ended and then has many tasks to stop. */
     private static final long WORKER_LEASE_SLACK_MS = 1000;
@@ -49,7 +49,7 @@
     private final long shortestDurationMs;
     private final long longestDurationMs;
     private final long workerRenewalGraceMs;
-    private final StallHistory stalls;
+    private final SlowRenewalHistory slowRenewals;
 
     /** Duration of the current lease. */
     private long durationMs;
@@ -59,8 +59,11 @@
     private long term;
     private long heldUntil;
 
-    /** The longest time by which a renewal of the current lease was sent late, since its last lapse. */
-    private long longestStallMs;
+    /**
+     * The longest time that a renewal took since the last lapse of the current lease, from when it was due until its
+     * response was processed; of one that got no response, until it was sent.
+     */
+    private long slowestRenewalMs;
 
     /** Incremented with each lease, so that renewals of an earlier lease stop. */
     private int generation;
@@ -76,7 +79,7 @@
         this.onExpired = onExpired;
         this.shortestDurationMs = durationMs(settings);
         this.longestDurationMs = Math.max(shortestDurationMs, maxDurationMs(settings));
-        this.stalls = new StallHistory(environment);
+        this.slowRenewals = new SlowRenewalHistory(environment);
         this.workerRenewalGraceMs = workerRenewalGraceMs(settings);
     }
 
@@ -95,9 +98,9 @@
         return Math.round(settings.workers().leaseS() * 1000 * MAX_DURATION_IN_WORKER_LEASES);
     }
 
-    /** Returns the duration of the next lease to request: longer if this process stalls repeatedly. */
+    /** Returns the duration of the next lease to request: longer if renewals are slow repeatedly. */
     long nextDurationMs() {
-        long neededMs = Math.round(DURATION_IN_STALLS * stalls.repeatedMs());
+        long neededMs = Math.round(DURATION_IN_SLOW_RENEWALS * slowRenewals.repeatedMs());
         return Math.min(longestDurationMs, Math.max(shortestDurationMs, neededMs));
     }
 
@@ -123,7 +126,7 @@
         id = leaseId;
         term = wonTerm;
         durationMs = grantedMs;
-        longestStallMs = 0;
+        slowestRenewalMs = 0;
         heldUntil = 0;
         extend(requestedAt);
         scheduleRenewal(++generation);
@@ -138,12 +141,12 @@
         heldUntil = 0;
     }
 
-    /** Records that the lease was not renewed in time, if that is because this process stalled. */
+    /** Records that the lease was not renewed in time, if that is because renewals are slow. */
     private void recordLapse() {
-        if (longestStallMs > STALL_SHARE * durationMs) {
-            stalls.record(longestStallMs);
-            longestStallMs = 0;
+        if (slowestRenewalMs > SLOW_RENEWAL_SHARE * durationMs) {
+            slowRenewals.record(slowestRenewalMs);
         }
+        slowestRenewalMs = 0;
     }
 
     String id() {
@@ -173,11 +176,11 @@
             return;
         }
         long sentAt = environment.now();
-        longestStallMs = Math.max(longestStallMs, sentAt - dueAt);
+        slowestRenewalMs = Math.max(slowestRenewalMs, sentAt - dueAt);
         boolean heldBefore = held();
         store.renewLease(id, durationMs, renewal -> {
             if (isCurrent(leaseGeneration)) {
-                handleRenewalResult(renewal, sentAt, heldBefore);
+                handleRenewalResult(renewal, dueAt, sentAt, heldBefore);
             }
         });
         scheduleRenewal(leaseGeneration);
@@ -193,20 +196,26 @@
         return active && generation == leaseGeneration;
     }
 
-    private void handleRenewalResult(LeaseRenewal renewal, long sentAt, boolean heldBefore) {
+    private void noteAnswered(long dueAt) {
+        slowestRenewalMs = Math.max(slowestRenewalMs, environment.now() - dueAt);
+    }
+
+    private void handleRenewalResult(LeaseRenewal renewal, long dueAt, long sentAt, boolean heldBefore) {
         switch (renewal.outcome()) {
             case RENEWED -> {
+                noteAnswered(dueAt);
                 if (!held()) {
                     LOG.info(
-                            "leader lease renewed after a gap, still leading: term={} lease_ms={} stall_ms={}",
+                            "leader lease renewed after a gap, still leading: term={} lease_ms={} slowest_ms={}",
                             term,
                             durationMs,
-                            longestStallMs);
+                            slowestRenewalMs);
                     recordLapse();
                 }
                 extend(sentAt);
             }
             case EXPIRED -> {
+                noteAnswered(dueAt);
                 LOG.info("leader lease expired: term={}", term);
                 onExpired.run();
             }
