Check invariants while a controller runs; one place decides who is answered

Whether users may be answered was decided in Leader beside much else; it now stands in AnswerRight alone, for questions, submissions, cancellations and operators. Four invariants are checked where the decision takes effect, logged as "invariant violated: name=..." and counted in the view counters: one assignment per task and starts within the team's limit (where tasks are assigned, whichever path decided), no first start after a confirmed cancellation (where the command is made), and that a leader which holds its lease becomes ready. Behaviour is as before.

Gangs left in parts are repaired by TaskLifecycle, whose state they are.

--- a/src/main/java/stileferry/cluster/ClusterState.java
+++ b/src/main/java/stileferry/cluster/ClusterState.java
@@ -27,6 +27,7 @@
     private static final int DELETED_MACHINES_KEPT_PER_MACHINE = 4;
 
     private final Settings settings;
+    private final InvariantMonitor invariants;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Job> jobsView = Collections.unmodifiableMap(jobs);
     private final Map<String, Machine> machines = new TreeMap<>();
@@ -57,12 +58,13 @@
     private final int[] assignmentsByPriority = new int[JobSpec.Priority.values().length];
 
     public ClusterState(Settings settings) {
-        this(settings, LinkHealth.NONE);
+        this(settings, LinkHealth.NONE, new InvariantMonitor());
     }
 
     /** Creates an empty model; {@code linkHealth} is notified of machines that are gone. */
-    public ClusterState(Settings settings, LinkHealth linkHealth) {
+    public ClusterState(Settings settings, LinkHealth linkHealth, InvariantMonitor invariants) {
         this.settings = settings;
+        this.invariants = invariants;
         this.linkHealth = linkHealth;
         for (Settings.Team team : settings.teams()) {
             usageByTeam.put(team.name(), new TeamUsage());
@@ -104,6 +106,11 @@
      */
     public void assign(TaskAssignment assignment) {
         Job job = assignment.job();
+        if (job.assignments().containsKey(assignment.index())) {
+            invariants.violated(
+                    InvariantMonitor.Invariant.ONE_ASSIGNMENT_PER_TASK,
+                    "attempt=" + assignment.attemptId() + " machine=" + assignment.machine());
+        }
         job.addAssignment(assignment);
         Machine machine = getOrAddMachine(assignment.machine());
         machine.addAssignment(assignment);
@@ -193,6 +200,29 @@
                                         <= team.maxGpus() + Resources.ROUNDING_TOLERANCE);
     }
 
+    /** Checks, after tasks of a job have been assigned, that the job's team is within its limit. */
+    public void checkTeamLimit(Job job) {
+        Settings.Team team = settings.team(job.spec().team());
+        if (team == null) {
+            return;
+        }
+        boolean aboveCpus =
+                team.maxCpus() > 0 && cpusInUse(team.name()) > team.maxCpus() + Resources.ROUNDING_TOLERANCE;
+        boolean aboveGpus =
+                team.maxGpus() > 0 && gpusInUse(team.name()) > team.maxGpus() + Resources.ROUNDING_TOLERANCE;
+        if (aboveCpus || aboveGpus) {
+            invariants.violated(
+                    InvariantMonitor.Invariant.START_WITHIN_TEAM_LIMIT,
+                    "job=" + job.spec().id() + " team=" + team.name() + " cpus=" + cpusInUse(team.name()) + " gpus="
+                            + gpusInUse(team.name()));
+        }
+    }
+
+    /** Returns the monitor of the invariants that are checked while this controller runs. */
+    public InvariantMonitor invariants() {
+        return invariants;
+    }
+
     /** Returns whether a team uses more than its quota, even after releasing these CPUs and GPUs. */
     public boolean exceedsQuota(String teamName, double releasedCpus, double releasedGpus) {
         Settings.Team team = settings.team(teamName);
--- a/src/main/java/stileferry/coordination/ControllerContext.java
+++ b/src/main/java/stileferry/coordination/ControllerContext.java
@@ -1,5 +1,6 @@
 package stileferry.coordination;
 
+import stileferry.cluster.InvariantMonitor;
 import stileferry.heartbeat.EventLoopLag;
 import stileferry.leadership.LeaderElection;
 import stileferry.lifecycle.CompletedJobCache;
@@ -20,4 +21,5 @@
         AdmissionControl admission,
         EventLoopLag eventLoopLag,
         CompletedJobCache completedJobs,
-        RequestMetrics metrics) {}
+        RequestMetrics metrics,
+        InvariantMonitor invariants) {}
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import stileferry.cluster.InvariantMonitor;
 import stileferry.heartbeat.EventLoopLag;
 import stileferry.leadership.LeaderElection;
 import stileferry.lifecycle.CompletedJobCache;
@@ -70,7 +71,8 @@
                 admission,
                 new EventLoopLag(environment, settings.workers().heartbeatIntervalS()),
                 new CompletedJobCache(settings.maxSockets()),
-                new RequestMetrics());
+                new RequestMetrics(),
+                new InvariantMonitor());
         this.machineTypes = new MachineTypeCatalog(environment, settings.cloudAddress(), this::updateMachineTypes);
         this.heartbeats = new HeartbeatRouter(controller, this::leader);
         this.userRequests = new UserRequestRouter(controller, this::leader, heartbeats);
@@ -140,6 +142,11 @@
         return now - leaderLastSeenAt < READY_GRACE_MS && !admission.shedsUsers();
     }
 
+    /** Returns the monitor of the invariants that this controller checks while it runs. */
+    InvariantMonitor invariants() {
+        return controller.invariants();
+    }
+
     /** Returns what this controller knows about the health of its links. */
     LinkHealth links() {
         return links;
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -41,7 +41,6 @@
     private static final Logger LOG = LoggerFactory.getLogger("leader");
 
     private static final double MS_PER_S = 1000;
-    private static final long BYTES_PER_MB = 1024 * 1024;
 
     private final Settings settings;
     private final Environment environment;
@@ -61,6 +60,7 @@
     private final JobRequestHandler jobRequests;
     private final AdmissionCounting admissionCounting;
     private final ConnectionBudgetWarning connectionBudgetWarning;
+    private final AnswerRight answerRight;
     private final long heartbeatRoundMs;
 
     /** Null until recovery is complete. */
@@ -68,10 +68,6 @@
 
     private Phase phase = Phase.READING_JOBS;
 
-    /** The reason last found by {@link #whyNotAnswer}; a change of it is logged. */
-    private UnavailableReason lastWhyNotAnswer = UnavailableReason.RECOVERING;
-
-    private long whyNotAnswerChangedAt;
     private boolean closed;
     private long activeAt;
 
@@ -97,6 +93,7 @@
         this.links = controller.links();
         this.term = term;
         this.sequence = new TermSequence(term);
+        this.answerRight = new AnswerRight(environment, election, links, term, this::active);
         TermComponents components = TermComponents.create(
                 controller,
                 machineTypes,
@@ -115,7 +112,6 @@
         this.connectionBudgetWarning = new ConnectionBudgetWarning(settings);
         this.schedulingLoop = schedulingLoop(controller);
         this.heartbeatRoundMs = settings.workers().heartbeatRoundMs();
-        this.whyNotAnswerChangedAt = environment.now();
         this.recovery = new StateRecovery(
                 environment,
                 controller.store(),
@@ -125,6 +121,7 @@
                 term,
                 election.admissionsCountedSince() > 0);
         recovery.load();
+        new ReadinessCheck(controller, term, () -> closed || active()).start();
     }
 
     private SchedulingLoop schedulingLoop(ControllerContext controller) {
@@ -143,6 +140,7 @@
     /** Ends the term and rejects the requests that have not received a response. */
     void close() {
         closed = true;
+        answerRight.endTerm();
         recovery.close();
         commitQueue.close();
         heartbeats.close();
@@ -175,7 +173,7 @@
                         cluster, commitQueue, recovered.operatorSettingsRevision(), this::setOperatorSettings),
                 new AdministrationViews(cluster, placement, environment),
                 this::describe);
-        repairGangs();
+        taskLifecycle.repairGangs();
         heartbeatJournal.restore(recovered.lastHeartbeats());
         cluster.machines().values().forEach(machine -> links.workerExpected(machine.name(), machine.address()));
         if (election.admissionsCountedSince() > 0) {
@@ -190,22 +188,13 @@
                 recovered.assignments(),
                 recovered.tookMs(),
                 recovered.attempts(),
-                environment.usedHeapBytes() / BYTES_PER_MB);
+                environment.usedHeapMb());
         taskLifecycle.jobCompletion().resumeAfterFailover();
         election.cancellations().allCancelledJobsRead();
         autoscaler.refreshInventory();
         tick();
     }
 
-    private void repairGangs() {
-        // An older version stored the completion of a single task of a gang, and might have started the other tasks
-        // again.
-        cluster.jobs().values().stream()
-                .filter(job -> job.spec().isGang() && job.completedCount() > 0)
-                .forEach(job -> taskLifecycle.completeGang(job, null));
-        cluster.jobs().values().forEach(taskLifecycle::stopIncompleteGangAttempt);
-    }
-
     private void setOperatorSettings(OperatorSettings operatorSettings) {
         cluster.setOperatorSettings(operatorSettings);
         environment.setLogLevel(operatorSettings.text(OperatorSettings.LOG_LEVEL));
@@ -286,42 +275,9 @@
 
     // ---- users and operators
 
-    /** Returns why users and operators may not be answered now; null: they may. Logs whenever the answer changes. */
-    private UnavailableReason whyNotAnswer() {
-        UnavailableReason whyNot = null;
-        if (closed) {
-            whyNot = UnavailableReason.TERM_ENDED;
-        } else if (!active()) {
-            whyNot = UnavailableReason.RECOVERING;
-        } else if (!election.leaseHeld()) {
-            whyNot = UnavailableReason.LEASE_NOT_HELD;
-        }
-        if (whyNot != lastWhyNotAnswer) {
-            logRightToAnswer(whyNot);
-        }
-        return whyNot;
-    }
-
-    private void logRightToAnswer(UnavailableReason whyNot) {
-        long now = environment.now();
-        LOG.info(
-                "right to answer users changed: term={} reason={} previous={} previous_ms={}",
-                term,
-                whyNot == null ? "granted" : whyNot.label(),
-                lastWhyNotAnswer == null ? "granted" : lastWhyNotAnswer.label(),
-                now - whyNotAnswerChangedAt);
-        lastWhyNotAnswer = whyNot;
-        whyNotAnswerChangedAt = now;
-    }
-
-    private UnavailableReason whyNotAcceptChanges() {
-        UnavailableReason whyNot = whyNotAnswer();
-        return whyNot == null && !links.permitsUserChanges() ? UnavailableReason.CHANGES_SUSPENDED : whyNot;
-    }
-
     /** Returns whether users' jobs may be accepted and cancelled now. */
     boolean mayAcceptChanges() {
-        return whyNotAcceptChanges() == null;
+        return answerRight.whyNotAcceptChanges() == null;
     }
 
     /**
@@ -344,7 +300,7 @@
      * it is not yet active.
      */
     void administer(AdministrationRequest request, Consumer<PeerMessage.Response> reply) {
-        if (whyNotAnswer() != null) {
+        if (answerRight.whyNotAnswer() != null) {
             reply.accept(Responses.noLeader());
         } else {
             administration.handle(request, reply);
@@ -368,12 +324,12 @@
     private final class JobRequestCallbacks implements JobRequestHandler.LeaderCallbacks {
         @Override
         public UnavailableReason whyNotAnswer() {
-            return Leader.this.whyNotAnswer();
+            return answerRight.whyNotAnswer();
         }
 
         @Override
         public UnavailableReason whyNotAcceptChanges() {
-            return Leader.this.whyNotAcceptChanges();
+            return answerRight.whyNotAcceptChanges();
         }
 
         @Override
--- a/src/main/java/stileferry/coordination/LocalAdministration.java
+++ b/src/main/java/stileferry/coordination/LocalAdministration.java
@@ -7,7 +7,6 @@
 
 /** Provides the administration views that every controller generates from its own state, whether or not it leads. */
 final class LocalAdministration {
-    private static final long BYTES_PER_MB = 1024 * 1024;
 
     private final ControllerContext controller;
 
@@ -48,17 +47,16 @@
     }
 
     private ObjectNode counters() {
-        return controller
-                .metrics()
-                .describe()
-                .put("node", controller.settings().controllerName())
+        ObjectNode view = controller.metrics().describe();
+        view.set("invariants_violated", controller.invariants().describe());
+        return view.put("node", controller.settings().controllerName())
                 .put("leader", controller.election().leader())
                 .put("term", controller.election().term())
                 .put("late_ms", controller.eventLoopLag().lagMs())
                 .put("most_late_ms", controller.eventLoopLag().maxLagMs())
                 .put("oldest_read_ms", controller.store().oldestQueuedReadMs())
                 .put("oldest_write_ms", controller.store().oldestQueuedWriteMs())
-                .put("heap_used_mb", controller.environment().usedHeapBytes() / BYTES_PER_MB)
-                .put("heap_max_mb", controller.environment().maxHeapBytes() / BYTES_PER_MB);
+                .put("heap_used_mb", controller.environment().usedHeapMb())
+                .put("heap_max_mb", controller.environment().maxHeapMb());
     }
 }
--- a/src/main/java/stileferry/coordination/StateRecovery.java
+++ b/src/main/java/stileferry/coordination/StateRecovery.java
@@ -28,7 +28,6 @@
     private static final Logger LOG = LoggerFactory.getLogger("leader");
 
     private static final long RETRY_DELAY_MS = 300;
-    private static final long BYTES_PER_MB = 1024 * 1024;
 
     /** Prefix of legacy records, each with a part of one job's tasks, which are read and then replaced. */
     private static final String LEGACY_CHUNK_PREFIX = "c/";
@@ -232,6 +231,6 @@
                 scan.pages(),
                 scan.revision(),
                 tookMs,
-                environment.usedHeapBytes() / BYTES_PER_MB);
+                environment.usedHeapMb());
     }
 }
--- a/src/main/java/stileferry/coordination/TermComponents.java
+++ b/src/main/java/stileferry/coordination/TermComponents.java
@@ -50,7 +50,7 @@
                 term.leaderRevision(),
                 term.number(),
                 election::resign);
-        ClusterState cluster = new ClusterState(controller.settings(), links);
+        ClusterState cluster = new ClusterState(controller.settings(), links, controller.invariants());
         cluster.setMachineTypes(machineTypes);
         LastHeartbeatJournal journal =
                 new LastHeartbeatJournal(cluster, environment, commitQueue, election, term.number());
--- a/src/main/java/stileferry/heartbeat/CommandPlanner.java
+++ b/src/main/java/stileferry/heartbeat/CommandPlanner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import stileferry.cluster.AgentState;
 import stileferry.cluster.ClusterState;
+import stileferry.cluster.InvariantMonitor;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
 import stileferry.leadership.LeaderElection;
@@ -14,6 +15,7 @@
 
 /** Decides which commands a worker needs: what it should do and has not yet been seen to have done. */
 final class CommandPlanner {
+    private final ClusterState cluster;
     private final Environment environment;
     private final LeaderElection leadership;
     private final long term;
@@ -29,6 +31,7 @@
     }
 
     CommandPlanner(ClusterState cluster, Environment environment, LeaderElection leadership, long term) {
+        this.cluster = cluster;
         this.environment = environment;
         this.leadership = leadership;
         this.term = term;
@@ -108,6 +111,12 @@
     private void addCommandsForAssignment(
             Machine machine, TaskAssignment assignment, Delivery delivery, long now, List<WorkerCommand> commands) {
         if (needsStart(machine, assignment, delivery, now)) {
+            if (assignment.job().cancellationConfirmed() && !assignment.startSent()) {
+                cluster.invariants()
+                        .violated(
+                                InvariantMonitor.Invariant.NO_START_AFTER_CONFIRMED_CANCELLATION,
+                                "attempt=" + assignment.attemptId() + " machine=" + machine.name());
+            }
             commands.add(new WorkerCommand(WorkerCommand.Kind.RUN, assignment.taskId(), assignment.attempt(), 0));
             assignment.markStartSent();
             if (delivery == Delivery.DIRECT) {
--- a/src/main/java/stileferry/heartbeat/EventLoopLag.java
+++ b/src/main/java/stileferry/heartbeat/EventLoopLag.java
@@ -12,7 +12,6 @@
     private static final Logger LOG = LoggerFactory.getLogger("coordinator");
 
     private static final int SAMPLES_PER_HEARTBEAT = 10;
-    private static final long BYTES_PER_MB = 1024 * 1024;
 
     /** Share of the heartbeat interval; with a lag above it the process is overloaded. */
     private static final double OVERLOAD_LAG_SHARE = 0.2;
@@ -49,10 +48,7 @@
             lagMs = Math.max(sample, DECAY_PER_SAMPLE * lagMs);
             maxLagMs = Math.max(maxLagMs, sample);
             if (sample > overloadThresholdMs) {
-                LOG.info(
-                        "event loop late: late_ms={} heap_used_mb={}",
-                        sample,
-                        environment.usedHeapBytes() / BYTES_PER_MB);
+                LOG.info("event loop late: late_ms={} heap_used_mb={}", sample, environment.usedHeapMb());
             }
             start();
         });
--- a/src/main/java/stileferry/lifecycle/TaskLifecycle.java
+++ b/src/main/java/stileferry/lifecycle/TaskLifecycle.java
@@ -109,6 +109,18 @@
             commitQueue.appendEvent(TaskEvents.assigned(assignment), () -> onAssignmentDurable(assignment, machine));
             index = job.nextUnassignedTask(index);
         }
+        cluster.checkTeamLimit(job);
+    }
+
+    /**
+     * Completes or stops the gangs that were left in parts: an older version stored the completion of a single task of
+     * a gang, and might have started the other tasks again.
+     */
+    public void repairGangs() {
+        cluster.jobs().values().stream()
+                .filter(job -> job.spec().isGang() && job.completedCount() > 0)
+                .forEach(job -> completeGang(job, null));
+        cluster.jobs().values().forEach(this::stopIncompleteGangAttempt);
     }
 
     private void onAssignmentDurable(TaskAssignment assignment, Machine machine) {
--- a/src/main/java/stileferry/links/LinkObservingEnvironment.java
+++ b/src/main/java/stileferry/links/LinkObservingEnvironment.java
@@ -47,13 +47,13 @@
     }
 
     @Override
-    public long usedHeapBytes() {
-        return delegate.usedHeapBytes();
+    public long usedHeapMb() {
+        return delegate.usedHeapMb();
     }
 
     @Override
-    public long maxHeapBytes() {
-        return delegate.maxHeapBytes();
+    public long maxHeapMb() {
+        return delegate.maxHeapMb();
     }
 
     @Override
--- a/src/main/java/stileferry/protocol/Environment.java
+++ b/src/main/java/stileferry/protocol/Environment.java
@@ -27,13 +27,13 @@
     /** Sets the log level: error, info, debug, or default for the level that the process was started with. */
     void setLogLevel(String level);
 
-    /** Returns the bytes of heap in use, garbage included; 0 if the implementation does not measure it. */
-    default long usedHeapBytes() {
+    /** Returns the megabytes of heap in use, garbage included; 0 if the implementation does not measure it. */
+    default long usedHeapMb() {
         return 0;
     }
 
-    /** Returns the maximum size of the heap in bytes; 0 if the implementation does not measure it. */
-    default long maxHeapBytes() {
+    /** Returns the maximum size of the heap in megabytes; 0 if the implementation does not measure it. */
+    default long maxHeapMb() {
         return 0;
     }
 
--- a/src/main/java/stileferry/transport/NetworkEnvironment.java
+++ b/src/main/java/stileferry/transport/NetworkEnvironment.java
@@ -18,6 +18,7 @@
 final class NetworkEnvironment implements Environment {
     static final String PEER_PATH = "/peer";
 
+    private static final long BYTES_PER_MB = 1024 * 1024;
     private static final byte[] NO_BODY = new byte[0];
 
     private final CommandQueue commands;
@@ -63,13 +64,13 @@
     }
 
     @Override
-    public long usedHeapBytes() {
-        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    public long usedHeapMb() {
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / BYTES_PER_MB;
     }
 
     @Override
-    public long maxHeapBytes() {
-        return Runtime.getRuntime().maxMemory();
+    public long maxHeapMb() {
+        return Runtime.getRuntime().maxMemory() / BYTES_PER_MB;
     }
 
     @Override
--- a/src/test/java/stileferry/coordination/InvariantChecks.java
+++ b/src/test/java/stileferry/coordination/InvariantChecks.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Map;
+import stileferry.cluster.InvariantMonitor;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.PeerMessage;
 import stileferry.protocol.Settings;
@@ -20,6 +21,7 @@
  *   <li>forgotten: an accepted job is unknown or invalid to a controller, or its user no longer gets responses
  *   <li>went_back, not_done: the state in a response contradicts an earlier response, or the tasks that are done
  *   <li>waiting: a job has no running task long after the last fault, although a machine has capacity for one
+ *   <li>asserted: a controller's own check of an invariant has failed
  *   <li>late_503: a 503 response is late, or has no retry time
  * </ul>
  */
@@ -50,6 +52,15 @@
             checkScheduled(user);
             checkCancelledTasksEnd(user);
         }
+        cluster.controllers.values().stream().filter(ControllerNode::up).forEach(this::checkRunTimeChecks);
+    }
+
+    private void checkRunTimeChecks(ControllerNode controller) {
+        for (InvariantMonitor.Invariant invariant : InvariantMonitor.Invariant.values()) {
+            if (controller.coordinator.invariants().count(invariant) > 0) {
+                violations.add("asserted: " + controller.name() + " " + invariant);
+            }
+        }
     }
 
     private void checkNotForgotten(SimulatedUser user) {
--- a/src/test/java/stileferry/coordination/InvariantChecksTest.java
+++ b/src/test/java/stileferry/coordination/InvariantChecksTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import stileferry.cluster.InvariantMonitor;
 import stileferry.protocol.Heartbeat;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.JobSpecBuilder;
@@ -78,6 +79,19 @@
                 invariant + " was not detected, violations: " + cluster.violations);
     }
 
+    @Test
+    void aCheckThatFailsInARunningControllerIsDetected() {
+        SimulatedCluster cluster = SimulatedCluster.started(1);
+        cluster.runFor(5);
+        assertEquals(List.of(), cluster.violations);
+        cluster.leader()
+                .coordinator
+                .invariants()
+                .violated(InvariantMonitor.Invariant.ONE_ASSIGNMENT_PER_TASK, "planted");
+        cluster.runFor(1);
+        assertDetected(cluster, "asserted");
+    }
+
     @Test
     void aTaskInTheWrongZoneIsDetected() {
         SimulatedCluster cluster = clusterWith(spec(9, "free", 2, "za", false));
