--- a/src/test/java/stileferry/cli/SoakCluster.java
+++ b/src/test/java/stileferry/cli/SoakCluster.java
@@ -196,9 +196,15 @@
         return true;
     }
 
-    /** Returns the ends of the logs of all controllers. */
-    String logs(int maxChars) throws IOException {
+    /** Returns what the leader says about its queue, teams and machines, and the ends of the logs of all controllers. */
+    String diagnostics(int maxChars) throws IOException, InterruptedException {
         StringBuilder logs = new StringBuilder();
+        for (String view : List.of("leader", "queue", "teams", "machines")) {
+            logs.append("---- ").append(view).append('\n');
+            logs.append(
+                    clients.get(0).sendOnce("GET", "/admin/" + view, NO_BODY).body());
+            logs.append('\n');
+        }
         for (int i = 0; i < CONTROLLERS; i++) {
             String log = controllers.get(i).log();
             logs.append("---- ").append(name(i)).append('\n');
--- a/src/test/java/stileferry/cli/SoakRun.java
+++ b/src/test/java/stileferry/cli/SoakRun.java
@@ -46,7 +46,7 @@
      *
      * @param faults the faults, as the seed repeats them
      * @param slowestAnswerMs how long after the end of the faults the last accepted job was answered about
-     * @param logs the ends of the controllers' logs; empty if nothing was violated
+     * @param logs views of the leader and the ends of the controllers' logs; empty if nothing was violated
      */
     record Result(
             long seed,
@@ -92,7 +92,7 @@
                 cluster.history.startCount(),
                 slowestAnswerMs,
                 violations,
-                violations.isEmpty() ? "" : cluster.logs(LOG_CHARS));
+                violations.isEmpty() ? "" : cluster.diagnostics(LOG_CHARS));
     }
 
     private Map<String, Double> cpusOfLimitedJobs() {
