Let regular passes of an overloaded leader rest, too

The log of slow passes told where the time went: each regular pass took 0.3 to 0.7 s of every second, beside requested ones. Requested passes leave five times their duration to heartbeats and lease renewals; regular ones did so only with fair_admission on.

Now a regular pass waits for that pause, too, while timers are late by more than a fifth of a heartbeat interval. With fair_admission it still waits at the first sign of lateness.

--- a/src/main/java/stileferry/coordination/SchedulingLoop.java
+++ b/src/main/java/stileferry/coordination/SchedulingLoop.java
@@ -19,18 +19,11 @@
     /** Passes that take longer are logged: the leader answers nobody meanwhile. */
     private static final long SLOW_PASS_MS = 300;
 
-    /**
-     * Minimum pause between passes, as a multiple of the duration of the last pass, so that heartbeats and lease
-     * renewals are processed in between. It applies to requested passes, and to regular ones where the caller asks for
-     * it.
-     */
-    private static final long MIN_PAUSE_FACTOR = 5;
-
     /** No pass runs while more changes wait for the key-value store than fit into this number of transactions. */
     private static final int MAX_BACKLOG_TRANSACTIONS = 4;
 
     private final Environment environment;
-    private final EventLoopLag eventLoopLag;
+    private final PassPause pause;
     private final ClusterState cluster;
     private final CommitQueue commitQueue;
     private final Placement placement;
@@ -39,8 +32,6 @@
     private final int maxBacklogChanges;
 
     private boolean passRequested;
-    private long lastPassTookMs;
-    private long lastPassAt;
 
     /** Implemented by the leader. */
     interface Callbacks {
@@ -63,7 +54,7 @@
             SchedulingPass schedulingPass,
             Callbacks callbacks) {
         this.environment = environment;
-        this.eventLoopLag = eventLoopLag;
+        this.pause = new PassPause(eventLoopLag);
         this.cluster = cluster;
         this.commitQueue = commitQueue;
         this.placement = placement;
@@ -79,7 +70,7 @@
             return;
         }
         passRequested = true;
-        environment.schedule(Math.max(COALESCING_DELAY_MS, MIN_PAUSE_FACTOR * lastPassTookMs), () -> {
+        environment.schedule(Math.max(COALESCING_DELAY_MS, pause.lengthMs()), () -> {
             passRequested = false;
             if (callbacks.mayRun()) {
                 run(false);
@@ -89,16 +80,13 @@
     }
 
     /**
-     * Runs a regular pass.
+     * Runs a regular pass, unless the event loop is late and the pause after the last pass has not elapsed: passes must
+     * not take the time that lease renewals need.
      *
-     * @param skipWhenSaturated whether the pass is skipped while the event loop is saturated and the pause after the
-     *     last pass has not elapsed: passes must not take the time that lease renewals need
+     * @param pausesWhenSaturated whether the first sign of lateness counts
      */
-    void runRegular(boolean skipWhenSaturated) {
-        boolean skip = skipWhenSaturated
-                && eventLoopLag.saturated()
-                && environment.now() - lastPassAt < MIN_PAUSE_FACTOR * lastPassTookMs;
-        if (!skip) {
+    void runRegular(boolean pausesWhenSaturated) {
+        if (!pause.holdsRegularPass(environment.now(), pausesWhenSaturated)) {
             run(true);
         }
     }
@@ -108,12 +96,12 @@
         if (commitQueue.backlog() <= maxBacklogChanges) {
             schedulingPass.run(regular, callbacks.allWorkersHeard());
         }
-        lastPassAt = environment.now();
-        lastPassTookMs = lastPassAt - startedAt;
-        if (lastPassTookMs > SLOW_PASS_MS) {
+        long tookMs = environment.now() - startedAt;
+        pause.passEnded(environment.now(), tookMs);
+        if (tookMs > SLOW_PASS_MS) {
             LOG.info(
                     "slow scheduling pass: took_ms={} regular={} jobs={} machines={}",
-                    lastPassTookMs,
+                    tookMs,
                     regular,
                     cluster.jobs().size(),
                     cluster.machines().size());
--- a/src/main/java/stileferry/coordination/TermComponents.java
+++ b/src/main/java/stileferry/coordination/TermComponents.java
@@ -54,14 +54,7 @@
         cluster.setMachineTypes(machineTypes);
         LastHeartbeatJournal journal =
                 new LastHeartbeatJournal(cluster, environment, commitQueue, election, term.number());
-        JobRequestHandler jobRequests = new JobRequestHandler(
-                cluster,
-                environment,
-                controller.store(),
-                commitQueue,
-                controller.completedJobs(),
-                callbacks,
-                controller.metrics());
+        JobRequestHandler jobRequests = jobRequests(controller, cluster, commitQueue, callbacks);
         TaskLifecycle taskLifecycle = new TaskLifecycle(
                 cluster,
                 environment,
@@ -82,4 +75,19 @@
                 new Autoscaler(cluster, environment, taskLifecycle.heartbeatHandler(), term.number(), links);
         return new TermComponents(cluster, commitQueue, journal, jobRequests, taskLifecycle, placement, autoscaler);
     }
+
+    private static JobRequestHandler jobRequests(
+            ControllerContext controller,
+            ClusterState cluster,
+            CommitQueue commitQueue,
+            JobRequestHandler.LeaderCallbacks callbacks) {
+        return new JobRequestHandler(
+                cluster,
+                controller.environment(),
+                controller.store(),
+                commitQueue,
+                controller.completedJobs(),
+                callbacks,
+                controller.metrics());
+    }
 }
--- a/src/test/java/stileferry/cli/SoakCluster.java
+++ b/src/test/java/stileferry/cli/SoakCluster.java
@@ -17,8 +17,8 @@
 import stileferry.transport.StandInServer;
 
 /**
- * Three controllers as processes of their own, started as deployed, and stand-ins for all else. Links of a controller to
- * the key-value store, to the cloud and to its peers go through relays; links of workers break in the stand-ins.
+ * Three controllers as processes of their own, started as deployed, and stand-ins for all else. Links of a controller
+ * to the key-value store, to the cloud and to its peers go through relays; links of workers break in the stand-ins.
  */
 final class SoakCluster implements AutoCloseable, LinkFaults {
     static final int CONTROLLERS = 3;
@@ -196,7 +196,7 @@
         return true;
     }
 
-    /** Returns what the leader says about its queue, teams and machines, and the ends of the logs of all controllers. */
+    /** Returns the leader's views of its queue, teams and machines, and the ends of the logs of all controllers. */
     String diagnostics(int maxChars) throws IOException, InterruptedException {
         StringBuilder logs = new StringBuilder();
         for (String view : List.of("leader", "queue", "teams", "machines")) {
