Log and count what users and health checks are told, and watch questions at run time

The logs could not tell why questions went unanswered: requests refused by the limit on requests in progress were not counted at all, and nothing was logged of health checks, connections or the length of the leader's lease.

Each controller now logs every 10 s what it has answered, why not, what health checks were told and how many connections are open; a change of the health check's status; and the lease that it begins. Requests refused by the limit are counted as too_many_in_progress. Two more invariants are checked at run time: a controller's questions do not all stay unanswered for 75 s, and the lease is held when an answer from the leader's model has left. The golden view of counters gains fields only. Behaviour is unchanged.

--- a/src/main/java/stileferry/cluster/InvariantMonitor.java
+++ b/src/main/java/stileferry/cluster/InvariantMonitor.java
@@ -23,7 +23,11 @@
         /** No task is started for the first time after its job's cancellation has been confirmed. */
         NO_START_AFTER_CONFIRMED_CANCELLATION,
         /** A leader that holds its lease becomes ready to answer. */
-        LEADER_BECOMES_READY;
+        LEADER_BECOMES_READY,
+        /** Users' questions about jobs are answered within a bounded time. */
+        QUESTIONS_ARE_ANSWERED,
+        /** The leader holds its lease when an answer that it gives from its model has left. */
+        LEASE_HELD_AS_ANSWER_LEAVES;
 
         private String label() {
             return name().toLowerCase(Locale.ROOT);
--- a/src/main/java/stileferry/coordination/AnswerRight.java
+++ b/src/main/java/stileferry/coordination/AnswerRight.java
@@ -3,6 +3,7 @@
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stileferry.cluster.InvariantMonitor;
 import stileferry.leadership.LeaderElection;
 import stileferry.links.LinkHealth;
 import stileferry.protocol.Environment;
@@ -19,6 +20,7 @@
     private final Environment environment;
     private final LeaderElection election;
     private final LinkHealth links;
+    private final InvariantMonitor invariants;
     private final long term;
     private final BooleanSupplier ready;
     private boolean termEnded;
@@ -30,10 +32,11 @@
      *
      * @param ready tells whether the leader has read the whole durable state
      */
-    AnswerRight(Environment environment, LeaderElection election, LinkHealth links, long term, BooleanSupplier ready) {
-        this.environment = environment;
-        this.election = election;
-        this.links = links;
+    AnswerRight(ControllerContext controller, long term, BooleanSupplier ready) {
+        this.environment = controller.environment();
+        this.election = controller.election();
+        this.links = controller.links();
+        this.invariants = controller.invariants();
         this.term = term;
         this.ready = ready;
         this.lastChangeAt = environment.now();
@@ -66,6 +69,13 @@
         return reason == null && !links.permitsUserChanges() ? UnavailableReason.CHANGES_SUSPENDED : reason;
     }
 
+    /** Checks, right after an answer was handed over to its connection, that the lease was held until then. */
+    void answerLeft() {
+        if (!termEnded && !election.leaseHeld()) {
+            invariants.violated(InvariantMonitor.Invariant.LEASE_HELD_AS_ANSWER_LEAVES, "term=" + term);
+        }
+    }
+
     private void logChange(UnavailableReason reason) {
         long now = environment.now();
         LOG.info(
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stileferry.cluster.InvariantMonitor;
 import stileferry.heartbeat.EventLoopLag;
 import stileferry.leadership.LeaderElection;
@@ -31,6 +33,10 @@
      */
     private static final long READY_GRACE_MS = 8000;
 
+    private static final int HEALTHY_STATUS = 200;
+    private static final int UNHEALTHY_STATUS = 503;
+    private static final Logger LOG = LoggerFactory.getLogger("coordinator");
+
     private final ControllerContext controller;
     private final Environment environment;
     private final LeaderElection election;
@@ -47,6 +53,9 @@
 
     private long leaderLastSeenAt = Long.MIN_VALUE / 2;
 
+    /** The status of the last health check, or 0 before the first one. */
+    private int lastHealthCheckStatus;
+
     /** Creates the coordinator of one controller with all optional features off. */
     public Coordinator(Settings settings, Environment environment) {
         this(settings, Features.NONE, environment);
@@ -85,6 +94,7 @@
         controller.eventLoopLag().start();
         election.start();
         machineTypes.refresh();
+        new RequestSummaryLog(controller).start();
         links.start(new LinkHealthCallbacks(election, controller.store(), controller.eventLoopLag()));
         admission.start(new AdmissionCallbacks(this::leader, election, controller.eventLoopLag()));
     }
@@ -142,6 +152,21 @@
         return now - leaderLastSeenAt < READY_GRACE_MS && !admission.shedsUsers();
     }
 
+    /** Returns the status with which a health check is answered. */
+    public int healthCheckStatus() {
+        int status = ready() ? HEALTHY_STATUS : UNHEALTHY_STATUS;
+        if (status != lastHealthCheckStatus) {
+            LOG.info(
+                    "health checks answered with: status={} previous={} leader_seen_ms={}",
+                    status,
+                    lastHealthCheckStatus,
+                    environment.now() - leaderLastSeenAt);
+            lastHealthCheckStatus = status;
+        }
+        controller.metrics().recordHealthCheck(status == HEALTHY_STATUS);
+        return status;
+    }
+
     /** Returns the monitor of the invariants that this controller checks while it runs. */
     InvariantMonitor invariants() {
         return controller.invariants();
@@ -187,6 +212,11 @@
         return admission.retryAfterS(kind, body);
     }
 
+    /** Counts a request that was refused because too many are in progress. */
+    public void countRefused(PeerMessage.RequestKind kind) {
+        userRequests.countRefused(kind);
+    }
+
     /** Handles a worker's heartbeat; the reply is an HTTP status and a body. */
     public void handleHeartbeat(byte[] body, BiConsumer<Integer, byte[]> reply) {
         heartbeats.handle(body, reply);
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -1,6 +1,5 @@
 package stileferry.coordination;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -18,7 +17,6 @@
 import stileferry.protocol.Environment;
 import stileferry.protocol.Heartbeat;
 import stileferry.protocol.MachineType;
-import stileferry.protocol.MessageCodec;
 import stileferry.protocol.OperatorSettings;
 import stileferry.protocol.PeerMessage;
 import stileferry.protocol.Settings;
@@ -93,7 +91,7 @@
         this.links = controller.links();
         this.term = term;
         this.sequence = new TermSequence(term);
-        this.answerRight = new AnswerRight(environment, election, links, term, this::active);
+        this.answerRight = new AnswerRight(controller, term, this::active);
         TermComponents components = TermComponents.create(
                 controller,
                 machineTypes,
@@ -168,11 +166,14 @@
 
     /** Called when the whole durable state has been read; starts regular work. */
     private void activate(StateRecovery.Recovered recovered) {
+        activeAt = environment.now();
+        LeaderView view =
+                new LeaderView(settings, environment, term, activeAt, cluster, commitQueue, jobRequests, taskLifecycle);
         administration = new AdministrationHandler(
                 new OperatorSettingsHandler(
                         cluster, commitQueue, recovered.operatorSettingsRevision(), this::setOperatorSettings),
                 new AdministrationViews(cluster, placement, environment),
-                this::describe);
+                view::describe);
         taskLifecycle.repairGangs();
         heartbeatJournal.restore(recovered.lastHeartbeats());
         cluster.machines().values().forEach(machine -> links.workerExpected(machine.name(), machine.address()));
@@ -180,7 +181,6 @@
             admissionCounting.start(recovered.admissionShards(), election.admissionsCountedSince(), commitQueue);
         }
         phase = Phase.ACTIVE;
-        activeAt = environment.now();
         LOG.info(
                 "leader ready: term={} jobs={} assignments={} took_ms={} attempts={} heap_used_mb={}",
                 term,
@@ -307,19 +307,6 @@
         }
     }
 
-    private ObjectNode describe() {
-        return MessageCodec.map()
-                .put("leader", settings.controllerName())
-                .put("term", term)
-                .put("active_s", (environment.now() - activeAt) / MS_PER_S)
-                .put("live_jobs", cluster.jobs().size())
-                .put("machines", cluster.machines().size())
-                .put("changes_waiting", commitQueue.backlog())
-                .put("oldest_reply_ms", jobRequests.oldestPendingReplyMs())
-                .put("transactions_in_flight", commitQueue.inFlight())
-                .set("gangs", taskLifecycle.gangMetrics().describe());
-    }
-
     /** Callbacks for the handler of users' requests about jobs. */
     private final class JobRequestCallbacks implements JobRequestHandler.LeaderCallbacks {
         @Override
@@ -352,6 +339,11 @@
             requestPass();
         }
 
+        @Override
+        public void answerLeft() {
+            answerRight.answerLeft();
+        }
+
         @Override
         public void cancel(Job job) {
             taskLifecycle.jobCompletion().cancel(job);
--- a/src/main/java/stileferry/coordination/UserRequestRouter.java
+++ b/src/main/java/stileferry/coordination/UserRequestRouter.java
@@ -24,12 +24,14 @@
     private final ControllerContext controller;
     private final Supplier<Leader> leader;
     private final HeartbeatRouter heartbeats;
+    private final UnansweredQuestionsCheck unansweredQuestions;
 
     /** {@code leader} supplies null while this controller does not lead. */
     UserRequestRouter(ControllerContext controller, Supplier<Leader> leader, HeartbeatRouter heartbeats) {
         this.controller = controller;
         this.leader = leader;
         this.heartbeats = heartbeats;
+        this.unansweredQuestions = new UnansweredQuestionsCheck(controller.environment(), controller.invariants());
     }
 
     /**
@@ -40,6 +42,7 @@
         route(request, response -> {
             long tookMs = controller.environment().now() - receivedAt;
             controller.metrics().record(request.kind(), response.status(), tookMs);
+            unansweredQuestions.responded(request.kind(), response.status());
             if (request.kind() == RequestKind.SUBMIT) {
                 LOG.debug(
                         "submission answered: status={} took_ms={} leader={}",
@@ -51,6 +54,13 @@
         });
     }
 
+    /** Counts a request that was refused, and not handled, because too many are in progress. */
+    void countRefused(RequestKind kind) {
+        PeerMessage.Response response = controller.metrics().unavailable(UnavailableReason.TOO_MANY_IN_PROGRESS);
+        controller.metrics().record(kind, response.status(), 0);
+        unansweredQuestions.responded(kind, response.status());
+    }
+
     private void route(ForwardedRequest request, Consumer<PeerMessage.Response> reply) {
         Leader current = leader.get();
         if (current != null) {
--- a/src/main/java/stileferry/leadership/LeaderLease.java
+++ b/src/main/java/stileferry/leadership/LeaderLease.java
@@ -128,6 +128,7 @@
         durationMs = grantedMs;
         slowestRenewalMs = 0;
         heldUntil = 0;
+        LOG.info("leader lease begun: term={} lease_ms={}", term, durationMs);
         extend(requestedAt);
         scheduleRenewal(++generation);
     }
--- a/src/main/java/stileferry/links/LinkObservingEnvironment.java
+++ b/src/main/java/stileferry/links/LinkObservingEnvironment.java
@@ -56,6 +56,11 @@
         return delegate.maxHeapMb();
     }
 
+    @Override
+    public long openConnections() {
+        return delegate.openConnections();
+    }
+
     @Override
     public void schedule(long delayMs, Runnable task) {
         delegate.schedule(delayMs, task);
--- a/src/main/java/stileferry/protocol/Environment.java
+++ b/src/main/java/stileferry/protocol/Environment.java
@@ -37,6 +37,14 @@
         return 0;
     }
 
+    /**
+     * Returns the number of open connections from users, workers and health checks; 0 if the implementation does not
+     * measure it.
+     */
+    default long openConnections() {
+        return 0;
+    }
+
     /** Runs a task after a delay, on the thread that owns the state. */
     void schedule(long delayMs, Runnable task);
 
--- a/src/main/java/stileferry/requests/JobRequestHandler.java
+++ b/src/main/java/stileferry/requests/JobRequestHandler.java
@@ -55,6 +55,9 @@
         /** Called once the acceptance of a job is durable. */
         void jobAccepted();
 
+        /** Called when an answer that depends on the leader's lease has been handed over to the connection. */
+        void answerLeft();
+
         /** Cancels a job; its users receive the response once the cancellation is durable. */
         void cancel(Job job);
     }
@@ -249,7 +252,7 @@
         }
         Job job = cluster.jobs().get(id);
         if (job != null) {
-            reply.accept(state(job));
+            answerUnderLease(reply, state(job));
             return;
         }
         if (cluster.unreadableJobs().contains(id)) {
@@ -258,10 +261,15 @@
         }
         answerIfCompleted(id, reply, () -> {
             Job submittedMeanwhile = cluster.jobs().get(id);
-            reply.accept(submittedMeanwhile != null ? state(submittedMeanwhile) : completedOrNotFound(id));
+            answerUnderLease(reply, submittedMeanwhile != null ? state(submittedMeanwhile) : completedOrNotFound(id));
         });
     }
 
+    private void answerUnderLease(Consumer<PeerMessage.Response> reply, PeerMessage.Response response) {
+        reply.accept(response);
+        leader.answerLeft();
+    }
+
     /** Cancels a job; responds once its cancellation, or its completion, is durable. */
     public void cancel(String id, Consumer<PeerMessage.Response> reply) {
         UnavailableReason whyNot = leader.whyNotAcceptChanges();
--- a/src/main/java/stileferry/requests/RequestMetrics.java
+++ b/src/main/java/stileferry/requests/RequestMetrics.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.StringJoiner;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import stileferry.protocol.MessageCodec;
@@ -15,6 +16,37 @@
     private final Map<PeerMessage.RequestKind, Histogram> latencies = new EnumMap<>(PeerMessage.RequestKind.class);
     private final Map<String, Long> responseCounts = new TreeMap<>();
     private final Map<UnavailableReason, Long> unavailableCounts = new EnumMap<>(UnavailableReason.class);
+    private long healthChecksPassed;
+    private long healthChecksFailed;
+
+    /** The counts as of the last call of {@link #growthSinceLastCall}, by name. */
+    private Map<String, Long> loggedCounts = Map.of();
+
+    /** Records a health check and whether it passed. */
+    public void recordHealthCheck(boolean passed) {
+        if (passed) {
+            healthChecksPassed++;
+        } else {
+            healthChecksFailed++;
+        }
+    }
+
+    /** Returns by how much each count has grown since the last call, as text for a log line; empty: by nothing. */
+    public String growthSinceLastCall() {
+        Map<String, Long> counts = new TreeMap<>(responseCounts);
+        counts.put("health_check passed", healthChecksPassed);
+        counts.put("health_check failed", healthChecksFailed);
+        unavailableCounts.forEach((reason, count) -> counts.put("unavailable " + reason.label(), count));
+        StringJoiner grown = new StringJoiner(" ");
+        counts.forEach((name, count) -> {
+            long growth = count - loggedCounts.getOrDefault(name, 0L);
+            if (growth > 0) {
+                grown.add(name.replace(' ', '_') + "=" + growth);
+            }
+        });
+        loggedCounts = counts;
+        return grown.toString();
+    }
 
     /** Records one response; latencies are clamped to at most {@link #MAX_LATENCY_MS}. */
     public void record(PeerMessage.RequestKind kind, int status, long latencyMs) {
@@ -39,6 +71,7 @@
         for (UnavailableReason reason : UnavailableReason.values()) {
             reasons.put(reason.label(), unavailableCounts.getOrDefault(reason, 0L));
         }
+        view.putObject("health_checks").put("passed", healthChecksPassed).put("failed", healthChecksFailed);
         ObjectNode latenciesView = view.putObject("times_ms");
         latencies.forEach((kind, histogram) -> latenciesView
                 .putObject(kind.wireName())
--- a/src/main/java/stileferry/requests/UnavailableReason.java
+++ b/src/main/java/stileferry/requests/UnavailableReason.java
@@ -26,6 +26,8 @@
     STORE_NOT_READABLE,
     /** The machine types are not known yet. */
     MACHINE_TYPES_UNKNOWN,
+    /** The limit on requests in progress at the controller that was asked was reached. */
+    TOO_MANY_IN_PROGRESS,
     /** More changes wait for the key-value store than it takes within the limit. */
     BACKLOG_TOO_LONG;
 
--- a/src/main/java/stileferry/transport/ApiServer.java
+++ b/src/main/java/stileferry/transport/ApiServer.java
@@ -89,7 +89,7 @@
     }
 
     private void handleReadiness(HttpServerExchange exchange) {
-        enqueue(exchange, () -> send(exchange, coordinator.ready() ? 200 : 503, 0, NO_BODY));
+        enqueue(exchange, () -> send(exchange, coordinator.healthCheckStatus(), 0, NO_BODY));
     }
 
     private void handleHeartbeat(HttpServerExchange exchange, byte[] body) {
@@ -137,7 +137,10 @@
         Optional<Limiter.Listener> acquired = limiter.acquire(null);
         int retryAfterS = acquired.isPresent() ? 0 : coordinator.retryAfterS(kind, body);
         if (retryAfterS > 0) {
-            send(exchange, 503, retryAfterS, OVERLOADED_BODY);
+            enqueue(exchange, () -> {
+                coordinator.countRefused(kind);
+                send(exchange, 503, retryAfterS, OVERLOADED_BODY);
+            });
             return;
         }
         Limiter.Listener slot = acquired.orElse(NO_OP_LISTENER);
--- a/src/main/java/stileferry/transport/ControllerServer.java
+++ b/src/main/java/stileferry/transport/ControllerServer.java
@@ -74,6 +74,7 @@
             peerServer.start();
             apiServer.start();
             apiConnectionStatistics = apiServer.getListenerInfo().get(0).getConnectorStatistics();
+            environment.countConnectionsWith(this::openConnections);
         } catch (RuntimeException e) { // broad catch: thrown if an address is in use
             close(); // a failed start must leave neither the other listener nor the threads behind
             throw e;
--- a/src/main/java/stileferry/transport/NetworkEnvironment.java
+++ b/src/main/java/stileferry/transport/NetworkEnvironment.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.xnio.XnioIoThread;
 import stileferry.protocol.Environment;
@@ -30,6 +31,7 @@
     /** Forwarded requests without a response yet, by the address of the peer. */
     private final Map<String, Integer> forwardsInFlight = new HashMap<>();
 
+    private LongSupplier openConnections = () -> 0;
     private volatile boolean closed;
 
     NetworkEnvironment(CommandQueue commands, EventLoop loop, int maxForwards) {
@@ -43,6 +45,11 @@
         closed = true;
     }
 
+    /** Sets what counts the open connections, once the servers have been started. */
+    void countConnectionsWith(LongSupplier counter) {
+        openConnections = counter;
+    }
+
     @Override
     public long now() {
         return System.nanoTime() / 1_000_000;
@@ -73,6 +80,11 @@
         return Runtime.getRuntime().maxMemory() / BYTES_PER_MB;
     }
 
+    @Override
+    public long openConnections() {
+        return openConnections.getAsLong();
+    }
+
     @Override
     public void schedule(long delayMs, Runnable task) {
         if (!closed) {
