--- a/src/main/java/stileferry/cluster/InvariantMonitor.java
+++ b/src/main/java/stileferry/cluster/InvariantMonitor.java
@@ -24,8 +24,6 @@
         NO_START_AFTER_CONFIRMED_CANCELLATION,
         /** A leader that holds its lease becomes ready to answer. */
         LEADER_BECOMES_READY,
-        /** Users' questions about jobs are answered within a bounded time. */
-        QUESTIONS_ARE_ANSWERED,
         /** The leader holds its lease when an answer that it gives from its model has left. */
         LEASE_HELD_AS_ANSWER_LEAVES;
 
--- a/src/main/java/stileferry/coordination/RequestSummaryLog.java
+++ b/src/main/java/stileferry/coordination/RequestSummaryLog.java
@@ -26,7 +26,7 @@
     }
 
     private void logGrowth() {
-        String growth = controller.metrics().growthSinceLastCall();
+        String growth = controller.metrics().takeGrowth();
         if (!growth.isEmpty()) {
             LOG.info(
                     "requests answered: term={} leader={} late_ms={} connections={} oldest_read_ms={} {}",
--- a/src/main/java/stileferry/coordination/UserRequestRouter.java
+++ b/src/main/java/stileferry/coordination/UserRequestRouter.java
@@ -31,7 +31,7 @@
         this.controller = controller;
         this.leader = leader;
         this.heartbeats = heartbeats;
-        this.unansweredQuestions = new UnansweredQuestionsCheck(controller.environment(), controller.invariants());
+        this.unansweredQuestions = new UnansweredQuestionsCheck(controller.environment(), controller.metrics());
     }
 
     /**
--- a/src/main/java/stileferry/requests/RequestMetrics.java
+++ b/src/main/java/stileferry/requests/RequestMetrics.java
@@ -18,8 +18,9 @@
     private final Map<UnavailableReason, Long> unavailableCounts = new EnumMap<>(UnavailableReason.class);
     private long healthChecksPassed;
     private long healthChecksFailed;
+    private long unansweredAlarms;
 
-    /** The counts as of the last call of {@link #growthSinceLastCall}, by name. */
+    /** The counts as of the last call of {@link #takeGrowth}, by name. */
     private Map<String, Long> loggedCounts = Map.of();
 
     /** Records a health check and whether it passed. */
@@ -31,23 +32,38 @@
         }
     }
 
-    /** Returns by how much each count has grown since the last call, as text for a log line; empty: by nothing. */
-    public String growthSinceLastCall() {
-        Map<String, Long> counts = new TreeMap<>(responseCounts);
-        counts.put("health_check passed", healthChecksPassed);
-        counts.put("health_check failed", healthChecksFailed);
-        unavailableCounts.forEach((reason, count) -> counts.put("unavailable " + reason.label(), count));
+    /** Records that questions have stayed unanswered for too long. */
+    public void recordUnansweredAlarm() {
+        unansweredAlarms++;
+    }
+
+    /** Returns what {@link #growth} returns, and begins to count from here. */
+    public String takeGrowth() {
+        String growth = growth();
+        loggedCounts = counts();
+        return growth;
+    }
+
+    /** Returns by how much each count has grown, as text for a log line; empty: by nothing. */
+    public String growth() {
         StringJoiner grown = new StringJoiner(" ");
-        counts.forEach((name, count) -> {
+        counts().forEach((name, count) -> {
             long growth = count - loggedCounts.getOrDefault(name, 0L);
             if (growth > 0) {
                 grown.add(name.replace(' ', '_') + "=" + growth);
             }
         });
-        loggedCounts = counts;
         return grown.toString();
     }
 
+    private Map<String, Long> counts() {
+        Map<String, Long> counts = new TreeMap<>(responseCounts);
+        counts.put("health_check passed", healthChecksPassed);
+        counts.put("health_check failed", healthChecksFailed);
+        unavailableCounts.forEach((reason, count) -> counts.put("unavailable " + reason.label(), count));
+        return counts;
+    }
+
     /** Records one response; latencies are clamped to at most {@link #MAX_LATENCY_MS}. */
     public void record(PeerMessage.RequestKind kind, int status, long latencyMs) {
         latencies
@@ -71,6 +87,7 @@
         for (UnavailableReason reason : UnavailableReason.values()) {
             reasons.put(reason.label(), unavailableCounts.getOrDefault(reason, 0L));
         }
+        view.put("unanswered_alarms", unansweredAlarms);
         view.putObject("health_checks").put("passed", healthChecksPassed).put("failed", healthChecksFailed);
         ObjectNode latenciesView = view.putObject("times_ms");
         latencies.forEach((kind, histogram) -> latenciesView
