--- a/src/test/java/stileferry/cli/ControllerProcess.java
+++ b/src/test/java/stileferry/cli/ControllerProcess.java
@@ -7,10 +7,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** A controller as a process of its own, with the JVM options of deploy/service.toml, that can be killed and paused. */
 final class ControllerProcess implements AutoCloseable {
+    private static final double TURN_S = 0.1;
+
     private final Path settingsFile;
     private final Path logFile;
     private Process process;
@@ -80,6 +83,23 @@
         signal("CONT");
     }
 
+    /**
+     * Lets the process run for this share of the time only, in turns, until it ends: a stand-in for a small share of a
+     * core.
+     */
+    void limitProcessor(double share) throws IOException {
+        String script = "while kill -CONT %1$d; do sleep %2$s; kill -STOP %1$d; sleep %3$s; done"
+                .formatted(process.pid(), seconds(share * TURN_S), seconds((1 - share) * TURN_S));
+        new ProcessBuilder("sh", "-c", script)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+    }
+
+    private static String seconds(double seconds) {
+        return String.format(Locale.ROOT, "%.3f", seconds);
+    }
+
     private void signal(String name) throws IOException, InterruptedException {
         if (running()) {
             new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
