Forward all questions to a late leader instead of refusing them at followers

Cause: a check in one path only. With fair_admission off, as deployed, each question at a follower took a slot of the limit on requests in progress, which submissions waiting for durable writes and a leader that is late by a second shrink to its minimum of 32; what passed had to find one of 1/32 of the sockets. With that alone mended, nine of ten failed as leader_did_not_answer: each timeout closed its connection, so the next request waited until the late leader had accepted a new one, and that again took longer than the timeout.

Now questions that are forwarded, or that the leader answers from memory, pass the limit and take none of its slots. A batch is not given up with its oldest question.

--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -212,6 +212,11 @@
         return admission.retryAfterS(kind, body);
     }
 
+    /** Returns whether a request is handled regardless of how many others are in progress. */
+    public boolean passesConcurrencyLimit(PeerMessage.RequestKind kind, String id) {
+        return userRequests.passesConcurrencyLimit(kind, id);
+    }
+
     /** Counts a request that was refused because too many are in progress. */
     public void countRefused(PeerMessage.RequestKind kind) {
         userRequests.countRefused(kind);
--- a/src/main/java/stileferry/coordination/UserRequestRouter.java
+++ b/src/main/java/stileferry/coordination/UserRequestRouter.java
@@ -25,12 +25,14 @@
     private final Supplier<Leader> leader;
     private final HeartbeatRouter heartbeats;
     private final UnansweredQuestionsCheck unansweredQuestions;
+    private final QuestionForwarder questions;
 
     /** {@code leader} supplies null while this controller does not lead. */
     UserRequestRouter(ControllerContext controller, Supplier<Leader> leader, HeartbeatRouter heartbeats) {
         this.controller = controller;
         this.leader = leader;
         this.heartbeats = heartbeats;
+        this.questions = new QuestionForwarder(controller.environment());
         this.unansweredQuestions = new UnansweredQuestionsCheck(controller.environment(), controller.metrics());
     }
 
@@ -54,6 +56,15 @@
         });
     }
 
+    /**
+     * Returns whether a request costs hardly more to answer than to refuse: a question that the leader answers from
+     * memory, or that is forwarded to it.
+     */
+    boolean passesConcurrencyLimit(RequestKind kind, String id) {
+        Leader current = leader.get();
+        return kind == RequestKind.STATUS && (current == null || current.knowsJob(id));
+    }
+
     /** Counts a request that was refused, and not handled, because too many are in progress. */
     void countRefused(RequestKind kind) {
         PeerMessage.Response response = controller.metrics().unavailable(UnavailableReason.TOO_MANY_IN_PROGRESS);
@@ -89,6 +100,8 @@
                 && controller.admission().acceptsBatches(peer);
         if (batched) {
             controller.admission().forward(peer, request, timeoutMs, onAnswer);
+        } else if (request.kind() == RequestKind.STATUS) {
+            questions.send(peer, controller.election().term(), request, timeoutMs, onAnswer);
         } else {
             controller.environment().sendToPeer(peer, request, timeoutMs, onAnswer);
         }
--- a/src/main/java/stileferry/overload/FairAdmission.java
+++ b/src/main/java/stileferry/overload/FairAdmission.java
@@ -19,6 +19,8 @@
 import stileferry.protocol.SubmissionHeader;
 import stileferry.protocol.UserMessages;
 import stileferry.requests.JobRequestHandler;
+import stileferry.requests.RequestForwarder;
+import stileferry.requests.RequestForwarder.BatchEnd;
 import stileferry.requests.Responses;
 import stileferry.storage.KeyValueStoreClient;
 import stileferry.validation.InvalidInputException;
@@ -73,8 +75,8 @@
         this.config = AdmissionSettings.config(settings);
         this.loadShedder = new LoadShedder(config, REMEMBERED_JOBS_PER_SOCKET * settings.maxSockets());
         this.totalsReader = new AdmissionTotalsReader(store);
-        this.statusRequests = new RequestForwarder(environment, MAX_STATUS_BATCHES);
-        this.changeRequests = new RequestForwarder(environment, MAX_CHANGE_BATCHES);
+        this.statusRequests = new RequestForwarder(environment, MAX_STATUS_BATCHES, BatchEnd.OLDEST_REQUEST);
+        this.changeRequests = new RequestForwarder(environment, MAX_CHANGE_BATCHES, BatchEnd.OLDEST_REQUEST);
     }
 
     @Override
@@ -266,7 +268,9 @@
     public void forward(
             Settings.Peer leader, PeerMessage.ForwardedRequest request, long timeoutMs, Consumer<PeerMessage> reply) {
         RequestForwarder forwarder = request.kind() == PeerMessage.RequestKind.STATUS ? statusRequests : changeRequests;
-        forwarder.send(leader, request, timeoutMs, reply);
+        if (!forwarder.send(leader, request, timeoutMs, reply)) {
+            reply.accept(null);
+        }
     }
 
     // ---- administration
--- a/src/main/java/stileferry/overload/RequestForwarder.java
+++ b/src/main/java/stileferry/requests/RequestForwarder.java
@@ -1,4 +1,4 @@
-package stileferry.overload;
+package stileferry.requests;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,7 +13,7 @@
  * Forwards users' requests to the leader in batches. While the maximum number of batches is in flight, further requests
  * wait for the next one. So batches grow when the leader slows down, and at low load every request is sent at once.
  */
-final class RequestForwarder {
+public final class RequestForwarder {
     /** The maximum number of queued requests: a few full batches. */
     private static final int MAX_QUEUED_REQUESTS = 4 * PeerMessage.MAX_BATCH_REQUESTS;
 
@@ -22,6 +22,7 @@
 
     private final Environment environment;
     private final int maxBatchesInFlight;
+    private final BatchEnd endsWith;
     private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
     private int batchesInFlight;
 
@@ -29,21 +30,35 @@
     private record QueuedRequest(
             Settings.Peer leader, PeerMessage.ForwardedRequest request, long deadlineMs, Consumer<PeerMessage> reply) {}
 
+    /** With the timeout of which of its requests a batch is given up. */
+    public enum BatchEnd {
+        /** No request gets its response late. */
+        OLDEST_REQUEST,
+        /** The newest requests are not given up with the oldest, whose responses may come late. */
+        NEWEST_REQUEST
+    }
+
     /** Creates a forwarder with a limit on the batches in flight. */
-    RequestForwarder(Environment environment, int maxBatchesInFlight) {
+    public RequestForwarder(Environment environment, int maxBatchesInFlight, BatchEnd endsWith) {
         this.environment = environment;
         this.maxBatchesInFlight = maxBatchesInFlight;
+        this.endsWith = endsWith;
     }
 
-    /** Queues a request for the next batch; the reply is null if no response arrived in time or it was not sent. */
-    void send(Settings.Peer leader, PeerMessage.ForwardedRequest request, long timeoutMs, Consumer<PeerMessage> reply) {
+    /**
+     * Queues a request for the next batch; the reply is null if no response arrived in time or it was not sent.
+     *
+     * @return false, without a reply, if too many requests are queued
+     */
+    public boolean send(
+            Settings.Peer leader, PeerMessage.ForwardedRequest request, long timeoutMs, Consumer<PeerMessage> reply) {
         dropExpired();
         if (queue.size() >= MAX_QUEUED_REQUESTS) {
-            reply.accept(null);
-            return;
+            return false;
         }
         queue.add(new QueuedRequest(leader, request, environment.now() + timeoutMs, reply));
         flush();
+        return true;
     }
 
     private void dropExpired() {
@@ -78,7 +93,8 @@
 
     private void sendBatch(List<QueuedRequest> batch) {
         batchesInFlight++;
-        long timeoutMs = Math.max(1, batch.get(0).deadlineMs - environment.now());
+        QueuedRequest last = batch.get(endsWith == BatchEnd.NEWEST_REQUEST ? batch.size() - 1 : 0);
+        long timeoutMs = Math.max(1, last.deadlineMs - environment.now());
         List<PeerMessage.ForwardedRequest> requests =
                 batch.stream().map(QueuedRequest::request).toList();
         environment.sendToPeer(batch.get(0).leader, new PeerMessage.RequestBatch(requests), timeoutMs, message -> {
--- a/src/main/java/stileferry/transport/ApiServer.java
+++ b/src/main/java/stileferry/transport/ApiServer.java
@@ -134,6 +134,10 @@
     }
 
     private void handleUserRequest(HttpServerExchange exchange, RequestKind kind, String id, byte[] body) {
+        if (coordinator.passesConcurrencyLimit(kind, id)) {
+            handleUserRequest(exchange, kind, id, body, NO_OP_LISTENER);
+            return;
+        }
         Optional<Limiter.Listener> acquired = limiter.acquire(null);
         int retryAfterS = acquired.isPresent() ? 0 : coordinator.retryAfterS(kind, body);
         if (retryAfterS > 0) {
@@ -143,7 +147,11 @@
             });
             return;
         }
-        Limiter.Listener slot = acquired.orElse(NO_OP_LISTENER);
+        handleUserRequest(exchange, kind, id, body, acquired.orElse(NO_OP_LISTENER));
+    }
+
+    private void handleUserRequest(
+            HttpServerExchange exchange, RequestKind kind, String id, byte[] body, Limiter.Listener slot) {
         enqueue(
                 exchange,
                 () -> coordinator.handleUserRequest(kind, id, body, response -> {
--- a/src/main/java/stileferry/transport/HttpCall.java
+++ b/src/main/java/stileferry/transport/HttpCall.java
@@ -23,6 +23,10 @@
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
     private static final int INITIAL_BUFFER_BYTES = 256;
+
+    /** How long a late response is awaited on its connection, in timeouts of the request. */
+    private static final int LATE_RESPONSE_TIMEOUTS = 3;
+
     private static final byte[] NO_BODY = new byte[0];
 
     private final HttpClient client;
@@ -33,13 +37,19 @@
     private ClientConnection connection;
     private State state = State.CONNECTING;
 
-    /** The request line, server address and body of a call. */
-    record Request(String address, String method, String path, byte[] body) {}
+    /**
+     * The request line, server address and body of a call.
+     *
+     * @param keepsLateConnection whether the connection is kept for some time after the timeout, for a late response
+     */
+    record Request(String address, String method, String path, byte[] body, boolean keepsLateConnection) {}
 
     private enum State {
         CONNECTING,
         /** The request was passed to a connection, so the server may have received it. */
         SENT,
+        /** The handler was called because of the timeout; the response may still arrive. */
+        EXPIRED,
         /** The handler was called with the response or with a failure. */
         COMPLETED
     }
@@ -51,7 +61,7 @@
     }
 
     void start(long timeoutMs) {
-        timeout = client.ioThread().executeAfter(this::fail, timeoutMs, TimeUnit.MILLISECONDS);
+        timeout = client.ioThread().executeAfter(() -> expire(timeoutMs), timeoutMs, TimeUnit.MILLISECONDS);
         ClientConnection idle = client.idleConnections().take(request.address());
         if (idle != null) {
             send(idle);
@@ -187,20 +197,39 @@
         if (state == State.COMPLETED) {
             return;
         }
+        boolean expired = state == State.EXPIRED;
         state = State.COMPLETED;
         timeout.remove();
         client.idleConnections().release(request.address(), connection);
-        responseHandler.onResponse(status, responseBody.toByteArray());
+        if (!expired) {
+            responseHandler.onResponse(status, responseBody.toByteArray());
+        }
+    }
+
+    /**
+     * Ends the call for its caller. If the request keeps its connection, the connection remains open for some time: a
+     * server that is merely late would otherwise have to accept a new one for each of the next requests.
+     */
+    private void expire(long timeoutMs) {
+        if (state != State.SENT || !request.keepsLateConnection()) {
+            fail();
+            return;
+        }
+        state = State.EXPIRED;
+        timeout = client.ioThread().executeAfter(this::fail, LATE_RESPONSE_TIMEOUTS * timeoutMs, TimeUnit.MILLISECONDS);
+        responseHandler.onResponse(Environment.NO_RESPONSE, NO_BODY);
     }
 
     private void fail() {
         if (state == State.COMPLETED) {
             return;
         }
-        int status = state == State.SENT ? Environment.NO_RESPONSE : Environment.NOT_SENT;
+        State before = state;
         state = State.COMPLETED;
         timeout.remove();
         IoUtils.safeClose(connection);
-        responseHandler.onResponse(status, NO_BODY);
+        if (before != State.EXPIRED) {
+            responseHandler.onResponse(before == State.SENT ? Environment.NO_RESPONSE : Environment.NOT_SENT, NO_BODY);
+        }
     }
 }
--- a/src/main/java/stileferry/transport/HttpClient.java
+++ b/src/main/java/stileferry/transport/HttpClient.java
@@ -36,7 +36,13 @@
 
     void request(
             String address, String method, String path, byte[] body, long timeoutMs, ResponseHandler responseHandler) {
-        new HttpCall(this, new HttpCall.Request(address, method, path, body), responseHandler).start(timeoutMs);
+        new HttpCall(this, new HttpCall.Request(address, method, path, body, false), responseHandler).start(timeoutMs);
+    }
+
+    /** Sends a request whose connection is kept for some time if the response does not arrive before the timeout. */
+    void requestKeepingLateConnection(
+            String address, String method, String path, byte[] body, long timeoutMs, ResponseHandler responseHandler) {
+        new HttpCall(this, new HttpCall.Request(address, method, path, body, true), responseHandler).start(timeoutMs);
     }
 
     IdleConnections idleConnections() {
--- a/src/main/java/stileferry/transport/NetworkEnvironment.java
+++ b/src/main/java/stileferry/transport/NetworkEnvironment.java
@@ -122,7 +122,7 @@
         if (isForward) {
             forwardsInFlight.merge(peer.address(), 1, Integer::sum);
         }
-        httpClient.request(
+        httpClient.requestKeepingLateConnection(
                 peer.address(),
                 "POST",
                 PEER_PATH,
