Keep the turns of a large fleet's leader shorter than its lease, from the first term on

Cause: a right that lapses because single turns of the event loop grow with the fleet while the lease does not. Passes started up to 400 tasks in one turn, 3 s and more on 0.306 of a core, and two of 0.4 s came each second as long as timers were less than 1.2 s late.

Now a leader records in a/term (lease_ms, only where the usual lease is too short) how long the lease of its fleet has to be, from the number of machines as soon as it is read, and the next leader begins with it. Recovery restores the state in slices; nothing is written until it is complete. A pass ends after fewer starts where it takes long, and a saturated leader of a large fleet rests between regular passes.

The soak's schedule now always has leaders that end in series and two overlapping faults.

--- a/src/main/java/stileferry/coordination/AnswerRight.java
+++ b/src/main/java/stileferry/coordination/AnswerRight.java
@@ -71,7 +71,7 @@
 
     /** Checks, right after an answer was handed over to its connection, that the lease was held until then. */
     void answerLeft() {
-        if (!termEnded && !election.leaseHeld()) {
+        if (!termEnded && election.leaseMayHaveEnded()) {
             invariants.violated(InvariantMonitor.Invariant.LEASE_HELD_AS_ANSWER_LEAVES, "term=" + term);
         }
     }
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -214,9 +214,10 @@
         connectionBudgetWarning.check(cluster.machines().size());
         heartbeatJournal.refuseExpired();
         if (election.leaseHeld()) {
+            election.observeFleetSize(cluster.machines().size());
             autoscaler.refreshInventory();
             autoscaler.scaleIn(allWorkersHeard());
-            schedulingLoop.runRegular(admissionCounting.started());
+            schedulingLoop.runRegular(admissionCounting.started() || election.leadsLargeFleet());
             flush();
         }
     }
@@ -242,7 +243,7 @@
         if (closed) {
             return;
         }
-        if (election.leaseHeld() && !links.handingOver()) {
+        if (active() && election.leaseHeld() && !links.handingOver()) { // while it recovers, records are missing
             commitQueue.flush();
         }
         heartbeats.commandDispatcher().sendQueued();
@@ -381,6 +382,11 @@
             setOperatorSettings(operatorSettings);
         }
 
+        @Override
+        public void machinesKnown(int machines) {
+            election.observeFleetSize(machines);
+        }
+
         @Override
         public void recovered(StateRecovery.Recovered recovered) {
             activate(recovered);
--- a/src/main/java/stileferry/coordination/SchedulingLoop.java
+++ b/src/main/java/stileferry/coordination/SchedulingLoop.java
@@ -24,6 +24,7 @@
 
     private final Environment environment;
     private final PassPause pause;
+    private final PassSize size;
     private final ClusterState cluster;
     private final CommitQueue commitQueue;
     private final Placement placement;
@@ -55,6 +56,7 @@
             Callbacks callbacks) {
         this.environment = environment;
         this.pause = new PassPause(eventLoopLag);
+        this.size = new PassSize(cluster.settings().slowdownFactor());
         this.cluster = cluster;
         this.commitQueue = commitQueue;
         this.placement = placement;
@@ -94,10 +96,12 @@
     private void run(boolean regular) {
         long startedAt = environment.now();
         if (commitQueue.backlog() <= maxBacklogChanges) {
+            placement.limitStarts(size.maxStarts());
             schedulingPass.run(regular, callbacks.allWorkersHeard());
         }
         long tookMs = environment.now() - startedAt;
         pause.passEnded(environment.now(), tookMs);
+        size.passEnded(tookMs, placement.stoppedEarly());
         if (tookMs > SLOW_PASS_MS) {
             LOG.info(
                     "slow scheduling pass: took_ms={} regular={} jobs={} machines={}",
--- a/src/main/java/stileferry/coordination/StateRecovery.java
+++ b/src/main/java/stileferry/coordination/StateRecovery.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stileferry.cluster.ClusterState;
@@ -54,6 +55,9 @@
         /** Called with the operators' settings if any are stored. */
         void operatorSettings(OperatorSettings settings);
 
+        /** Called with the number of machines that have task assignments. */
+        void machinesKnown(int machines);
+
         /** Called when all jobs and task assignments are in the cluster state. */
         void recovered(Recovered recovered);
     }
@@ -207,17 +211,27 @@
             jobs.values().stream()
                     .sorted(Comparator.comparingLong(Job::submissionOrder))
                     .forEach(cluster::addJob);
-            events.replay();
-            events.restoreInto(commitQueue::restore);
+            inSlices(events.replaySteps(), () -> restoreAssignments(operatorSettingsRevision));
+        }
+
+        private void restoreAssignments(long operatorSettingsRevision) {
             List<TaskAssignment> assignments = events.unsettledAssignments();
-            assignments.forEach(cluster::assign);
-            listener.recovered(new Recovered(
-                    operatorSettingsRevision,
-                    assignments.size(),
-                    environment.now() - startedAt,
-                    attempts,
-                    events.lastHeartbeats(),
-                    admissionShards));
+            listener.machinesKnown((int)
+                    assignments.stream().map(TaskAssignment::machine).distinct().count());
+            Stream<Runnable> assignSteps = assignments.stream().map(assignment -> () -> cluster.assign(assignment));
+            inSlices(
+                    Stream.concat(events.restoreSteps(commitQueue::restore), assignSteps),
+                    () -> listener.recovered(new Recovered(
+                            operatorSettingsRevision,
+                            assignments.size(),
+                            environment.now() - startedAt,
+                            attempts,
+                            events.lastHeartbeats(),
+                            admissionShards)));
+        }
+
+        private void inSlices(Stream<Runnable> steps, Runnable onEnd) {
+            new SlicedWork(environment, () -> closed, steps.iterator(), onEnd).run();
         }
     }
 
--- a/src/main/java/stileferry/leadership/LeaderCampaign.java
+++ b/src/main/java/stileferry/leadership/LeaderCampaign.java
@@ -1,6 +1,6 @@
 package stileferry.leadership;
 
-import java.util.function.LongSupplier;
+import java.util.function.LongUnaryOperator;
 import stileferry.links.LinkHealth;
 import stileferry.protocol.Environment;
 import stileferry.protocol.KeyValue;
@@ -34,7 +34,7 @@
     private final String node;
     private final LinkHealth links;
     private final boolean countsAdmissions;
-    private final LongSupplier leaseDurationMs;
+    private final LongUnaryOperator leaseDurationMs;
     private final Listener listener;
     private int generation;
 
@@ -62,13 +62,18 @@
      */
     record Win(TermRecord term, long revision, String leaseId, long requestedAt, long leaseDurationMs) {}
 
+    /**
+     * Creates a campaign that has not started.
+     *
+     * @param leaseDurationMs returns the duration of the lease to request, given the one that the last leader recorded
+     */
     LeaderCampaign(
             Environment environment,
             KeyValueStoreClient store,
             String node,
             LinkHealth links,
             boolean countsAdmissions,
-            LongSupplier leaseDurationMs,
+            LongUnaryOperator leaseDurationMs,
             Listener listener) {
         this.environment = environment;
         this.store = store;
@@ -174,7 +179,7 @@
 
     private void campaign(int stepGeneration, TermRecord storedTerm) {
         long requestedAt = environment.now();
-        long durationMs = leaseDurationMs.getAsLong();
+        long durationMs = leaseDurationMs.applyAsLong(storedTerm.leaseMs());
         store.grantLease(durationMs, lease -> {
             if (generation != stepGeneration) {
                 return;
@@ -204,7 +209,12 @@
                 return;
             }
             if (result.outcome() == CommitResult.Outcome.APPLIED) {
-                listener.won(new Win(next, result.revision(), leaseId, lease.requestedAt, lease.durationMs));
+                listener.won(new Win(
+                        next.atRevision(result.revision()),
+                        result.revision(),
+                        leaseId,
+                        lease.requestedAt,
+                        lease.durationMs));
             } else {
                 // If the outcome is unknown and the key was written, the next check finds it and revokes its lease.
                 store.revokeLease(leaseId, () -> {});
--- a/src/main/java/stileferry/leadership/LeaderElection.java
+++ b/src/main/java/stileferry/leadership/LeaderElection.java
@@ -38,6 +38,7 @@
     private final LeaderLease lease;
     private final CancellationQuorum cancellations;
     private final PeerAnnouncements announcements;
+    private final LeaseDurationRecord leaseDurationRecord;
 
     private boolean leading;
     private long term;
@@ -77,6 +78,7 @@
         this.settings = settings;
         this.listener = listener;
         this.lease = new LeaderLease(environment, store, settings, this::stepDown);
+        this.leaseDurationRecord = new LeaseDurationRecord(environment, store, lease.usualDurationMs(), lease::held);
         this.campaign = new LeaderCampaign(
                 environment,
                 store,
@@ -175,6 +177,11 @@
         return lease.held();
     }
 
+    /** Returns whether another controller may lead by now, as this one's lease may have ended. */
+    public boolean leaseMayHaveEnded() {
+        return lease.mayHaveEnded();
+    }
+
     /**
      * Returns whether this leader may renew workers' leases. While it holds its own lease, no other controller confirms
      * cancellations. Afterwards another leader may do so, and a task that it cancels must not keep running on a lease
@@ -195,6 +202,17 @@
         }
     }
 
+    /** Called by the leader with the number of machines of its fleet, on which the length of leases depends. */
+    public void observeFleetSize(int machines) {
+        lease.setFleetSize(machines);
+        leaseDurationRecord.update(lease.neededDurationMs());
+    }
+
+    /** Returns whether the fleet is so large that its leaders need a longer lease than usual. */
+    public boolean leadsLargeFleet() {
+        return leading && lease.largeFleet();
+    }
+
     // ---- announcements
 
     /** Returns what this process knows about cancelled jobs. */
@@ -283,6 +301,7 @@
         LOG.info("leader elected: term={}", term);
         campaign.stop();
         lease.begin(win.leaseId(), term, win.requestedAt(), win.leaseDurationMs());
+        leaseDurationRecord.beginTerm(win.term(), win.revision());
         announcements.announceToAll();
         listener.elected(term, win.revision());
     }
@@ -291,6 +310,7 @@
         leading = false;
         cancellations.endTerm();
         lease.end();
+        leaseDurationRecord.endTerm();
         otherLeader = "";
         listener.deposed();
         campaign.start();
--- a/src/main/java/stileferry/leadership/LeaderLease.java
+++ b/src/main/java/stileferry/leadership/LeaderLease.java
@@ -34,6 +34,12 @@
 
     private static final int RENEWALS_PER_LEASE = 5;
 
+    /**
+     * Heartbeats that arrive for each core in a second up to which the usual lease is long enough. Beyond, stalls grow
+     * with both the number of events and the time that each of them takes.
+     */
+    private static final double HEARTBEATS_PER_CORE_SECOND = 1100;
+
     /** Length of a lease in slow renewals, so that another one may be as slow and the next still arrives in time. */
     private static final double DURATION_IN_SLOW_RENEWALS = 3;
 
@@ -50,10 +56,13 @@
     private final long longestDurationMs;
     private final long workerRenewalGraceMs;
     private final SlowRenewalHistory slowRenewals;
+    private final double heartbeatIntervalS;
+    private final double cores;
 
     /** Duration of the current lease. */
     private long durationMs;
 
+    private int fleetSize;
     private boolean active;
     private String id;
     private long term;
@@ -79,6 +88,8 @@
         this.onExpired = onExpired;
         this.shortestDurationMs = durationMs(settings);
         this.longestDurationMs = Math.max(shortestDurationMs, maxDurationMs(settings));
+        this.heartbeatIntervalS = settings.workers().heartbeatIntervalS();
+        this.cores = settings.cores() * settings.slowdownFactor(); // the usual duration is scaled for fewer cores
         this.slowRenewals = new SlowRenewalHistory(environment);
         this.workerRenewalGraceMs = workerRenewalGraceMs(settings);
     }
@@ -98,10 +109,40 @@
         return Math.round(settings.workers().leaseS() * 1000 * MAX_DURATION_IN_WORKER_LEASES);
     }
 
-    /** Returns the duration of the next lease to request: longer if renewals are slow repeatedly. */
-    long nextDurationMs() {
-        long neededMs = Math.round(DURATION_IN_SLOW_RENEWALS * slowRenewals.repeatedMs());
-        return Math.min(longestDurationMs, Math.max(shortestDurationMs, neededMs));
+    /**
+     * Returns the duration of the next lease to request: longer if the last leader has recorded that leaders of this
+     * fleet need that, or if renewals are slow repeatedly.
+     */
+    long nextDurationMs(long recordedMs) {
+        return Math.min(longestDurationMs, Math.max(recordedMs, neededDurationMs()));
+    }
+
+    /** Sets the number of machines of the fleet; 0: not known. */
+    void setFleetSize(int machines) {
+        fleetSize = machines;
+    }
+
+    /** Returns the duration that leaders of this fleet need, as far as this controller knows. */
+    long neededDurationMs() {
+        double loadRatio = loadRatio();
+        double forLoadMs = shortestDurationMs * loadRatio * loadRatio;
+        double forRenewalsMs = DURATION_IN_SLOW_RENEWALS * slowRenewals.repeatedMs();
+        double neededMs = Math.max(shortestDurationMs, Math.max(forLoadMs, forRenewalsMs));
+        return Math.round(Math.min(longestDurationMs, neededMs));
+    }
+
+    /** Returns whether the usual duration is too short for the load of this fleet. */
+    boolean largeFleet() {
+        return loadRatio() > 1;
+    }
+
+    private double loadRatio() {
+        return fleetSize / heartbeatIntervalS / cores / HEARTBEATS_PER_CORE_SECOND;
+    }
+
+    /** Returns the usual duration, which is long enough for most fleets. */
+    long usualDurationMs() {
+        return shortestDurationMs;
     }
 
     /**
@@ -159,6 +200,11 @@
         return active && environment.now() < heldUntil;
     }
 
+    /** Returns true once the lease may have ended: {@link #held} ends a little earlier. */
+    boolean mayHaveEnded() {
+        return !active || environment.now() >= heldUntil + TIMER_SLACK_MS;
+    }
+
     /**
      * Returns whether workers' leases may be renewed. They may while this lease is held and for a grace period after
      * it, or after {@code noOtherLeaderUntil} if that is later.
--- a/src/main/java/stileferry/lifecycle/TaskEventReader.java
+++ b/src/main/java/stileferry/lifecycle/TaskEventReader.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import stileferry.cluster.Job;
 import stileferry.cluster.LastHeartbeatRecord;
 import stileferry.cluster.TaskAssignment;
@@ -183,14 +185,23 @@
 
     /** Replays all records that were read, in the order in which they were written; called once. */
     public void replay() {
+        replaySteps().forEach(Runnable::run);
+    }
+
+    /** Returns the steps of {@link #replay}; each must be carried out before the next one is requested. */
+    public Stream<Runnable> replaySteps() {
         records.sort(Comparator.comparingLong(DecodedRecord::number));
-        legacyRecords.forEach(this::replay);
-        records.forEach(this::replay);
-        for (Map<Integer, Assigned> jobAssignments : assignments.values()) {
-            for (Assigned assigned : jobAssignments.values()) {
-                if (!assigned.job.completedTasks().contains(assigned.index)) {
-                    assigned.unsettled = restoreAssignment(assigned);
-                }
+        Stream<Runnable> recordSteps =
+                Stream.concat(legacyRecords.stream(), records.stream()).map(record -> () -> replay(record));
+        Stream<Runnable> jobSteps =
+                Stream.of(assignments).flatMap(all -> all.values().stream()).map(job -> () -> restoreUnsettled(job));
+        return Stream.concat(recordSteps, jobSteps);
+    }
+
+    private static void restoreUnsettled(Map<Integer, Assigned> jobAssignments) {
+        for (Assigned assigned : jobAssignments.values()) {
+            if (!assigned.job.completedTasks().contains(assigned.index)) {
+                assigned.unsettled = restoreAssignment(assigned);
             }
         }
     }
@@ -254,16 +265,19 @@
 
     /** Passes on all records in the order in which they were written, and releases them; called once. */
     public void restoreInto(RecordRestorer restorer) {
-        restoreInto(restorer, legacyRecords);
-        restoreInto(restorer, records);
+        restoreSteps(restorer).forEach(Runnable::run);
     }
 
-    private static void restoreInto(RecordRestorer restorer, List<DecodedRecord> records) {
-        for (int i = 0; i < records.size(); i++) {
+    /** Returns the steps of {@link #restoreInto}; each must be carried out before the next one is requested. */
+    public Stream<Runnable> restoreSteps(RecordRestorer restorer) {
+        return Stream.concat(restoreSteps(restorer, legacyRecords), restoreSteps(restorer, records));
+    }
+
+    private static Stream<Runnable> restoreSteps(RecordRestorer restorer, List<DecodedRecord> records) {
+        return IntStream.range(0, records.size()).mapToObj(i -> () -> {
             DecodedRecord record = records.set(i, null);
             restorer.restore(record.key, record.revision, record.number, neededEvents(record));
-        }
-        records.clear();
+        });
     }
 
     /**
--- a/src/main/java/stileferry/scheduling/BackfillPass.java
+++ b/src/main/java/stileferry/scheduling/BackfillPass.java
@@ -15,17 +15,12 @@
  * blocked for the rest of the pass.
  */
 final class BackfillPass {
-    /**
-     * The number of starts after which a pass ends; the rest follows in the next pass. Longer passes would delay
-     * heartbeats and lease renewals.
-     */
-    private static final int MAX_STARTS_PER_PASS = 400;
-
     private final ClusterState cluster;
     private final Placement placement;
     private final long now;
     private final long timeOfDay;
     private final boolean preemptionEnabled;
+    private final int maxStarts;
     private final BiConsumer<Job, List<Machine>> start;
     private final double headProtectionMs;
 
@@ -56,12 +51,14 @@
             long now,
             long timeOfDay,
             boolean preemptionEnabled,
+            int maxStarts,
             BiConsumer<Job, List<Machine>> start) {
         this.cluster = cluster;
         this.placement = placement;
         this.now = now;
         this.timeOfDay = timeOfDay;
         this.preemptionEnabled = preemptionEnabled;
+        this.maxStarts = maxStarts;
         this.start = start;
         this.headProtectionMs = 1000 * cluster.operatorSettings().number(OperatorSettings.HEAD_PROTECTION_S);
     }
@@ -73,7 +70,7 @@
             queue.add(new QueuedJob(job, placement.rank(job)));
         }
         unblockedCount = queue.size();
-        while (unblockedCount > 0 && starts < MAX_STARTS_PER_PASS) {
+        while (unblockedCount > 0 && starts < maxStarts) {
             tryToStart(nextPosition());
         }
         List<Job> waiting = new ArrayList<>(queue.size());
--- a/src/main/java/stileferry/scheduling/Placement.java
+++ b/src/main/java/stileferry/scheduling/Placement.java
@@ -14,6 +14,9 @@
  * milliseconds since the epoch.
  */
 public final class Placement {
+    /** The number of starts after which a pass ends unless it is limited further; the rest follows in the next pass. */
+    public static final int MAX_STARTS = 400;
+
     private final ClusterState cluster;
     private final QueueOrder queueOrder;
     private final StartObjectives startObjectives;
@@ -21,6 +24,7 @@
     private final MachineSelector selector;
     private final GangPlacement gangPlacement;
     private final ImageLocalityDelay imageLocalityDelay;
+    private int maxStarts = MAX_STARTS;
     private boolean stoppedEarly;
 
     /** Creates the placement on the machines of a leader's cluster model. */
@@ -42,12 +46,17 @@
      * @return the jobs that still wait for capacity, in queue order; the caller may change the list
      */
     List<Job> runPass(long now, long timeOfDay, boolean preemptionEnabled, BiConsumer<Job, List<Machine>> start) {
-        BackfillPass pass = new BackfillPass(cluster, this, now, timeOfDay, preemptionEnabled, start);
+        BackfillPass pass = new BackfillPass(cluster, this, now, timeOfDay, preemptionEnabled, maxStarts, start);
         List<Job> waiting = pass.run();
         stoppedEarly = pass.stoppedEarly();
         return waiting;
     }
 
+    /** Sets the number of starts after which a pass stops. */
+    public void limitStarts(int newMaxStarts) {
+        maxStarts = newMaxStarts;
+    }
+
     /** Returns whether the last pass stopped before it had started everything that fits. */
     public boolean stoppedEarly() {
         return stoppedEarly;
--- a/src/test/java/stileferry/cli/SoakFault.java
+++ b/src/test/java/stileferry/cli/SoakFault.java
@@ -24,6 +24,7 @@
     private static final long INSTANT_RESTART_MS = 300;
     private static final int INSTANT_RESTART_ONE_IN = 3;
     private static final int LEADER_CONCERNED_ONE_IN = 2;
+    private static final int OVERLAPPING_FAULTS = 2;
 
     private static final List<Effect> LINK_EFFECTS =
             List.of(Effect.REFUSED, Effect.REQUEST_LOST, Effect.ANSWER_LOST, Effect.SLOW, Effect.LATE);
@@ -73,7 +74,22 @@
             Effect effect = LINK_EFFECTS.get(random.nextInt(LINK_EFFECTS.size()));
             faults.add(new SoakFault(kind, startMs, durationMs, controller, effect));
         }
+        addOverlap(faults, random, lengthMs);
         faults.sort(Comparator.comparingLong(SoakFault::startMs));
         return faults;
     }
+
+    /** Adds leaders that end in series, and two other faults that begin while they do. */
+    private static void addOverlap(List<SoakFault> faults, SplittableRandom random, long lengthMs) {
+        long durationMs = Math.min(MAX_DURATION_MS, lengthMs / 3);
+        long startMs = random.nextLong(0, lengthMs - 2 * durationMs);
+        Effect effect = LINK_EFFECTS.get(random.nextInt(LINK_EFFECTS.size()));
+        faults.add(new SoakFault(Kind.KILL_LEADERS_IN_SERIES, startMs, durationMs, LEADER, effect));
+        for (int i = 0; i < OVERLAPPING_FAULTS; i++) {
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            long beginsMs = startMs + random.nextLong(0, durationMs);
+            long lastsMs = random.nextLong(MIN_DURATION_MS, durationMs);
+            faults.add(new SoakFault(kind, beginsMs, lastsMs, random.nextInt(CONTROLLERS), effect));
+        }
+    }
 }
--- a/src/test/java/stileferry/coordination/FailoverTest.java
+++ b/src/test/java/stileferry/coordination/FailoverTest.java
@@ -37,6 +37,21 @@
         assertEquals(List.of(), cluster.violations);
     }
 
+    /** Guards against leaders that change one after the other because a process that has just started knows nothing. */
+    @Test
+    void leadersThatStallAtSizeDoNotChangeOneAfterTheOtherWhenAllHaveRestarted() {
+        SimulatedCluster cluster = BusyCluster.withLongJobs(41);
+        stallLeaders(cluster, 15);
+        cluster.controllers.values().forEach(ControllerNode::crash);
+        cluster.controllers.values().forEach(controller -> cluster.after(1000, controller::start));
+        cluster.runFor(20);
+        long term = cluster.term();
+        cluster.faults.endedAt = cluster.now;
+        stallLeaders(cluster, 45);
+        assertEquals(term, cluster.term());
+        assertEquals(List.of(), cluster.violations);
+    }
+
     /** Makes the leader of the moment stall for longer than the lease that it begins with, every 4 s. */
     private static void stallLeaders(SimulatedCluster cluster, int times) {
         for (int i = 0; i < times; i++) {
