--- a/src/main/java/stileferry/transport/HttpCall.java
+++ b/src/main/java/stileferry/transport/HttpCall.java
@@ -201,7 +201,9 @@
         state = State.COMPLETED;
         timeout.remove();
         client.idleConnections().release(request.address(), connection);
-        if (!expired) {
+        if (expired) {
+            client.lateConnections().ended(request.address());
+        } else {
             responseHandler.onResponse(status, responseBody.toByteArray());
         }
     }
@@ -211,7 +213,10 @@
      * server that is merely late would otherwise have to accept a new one for each of the next requests.
      */
     private void expire(long timeoutMs) {
-        if (state != State.SENT || !request.keepsLateConnection()) {
+        boolean keepsConnection = state == State.SENT
+                && request.keepsLateConnection()
+                && client.lateConnections().tryKeep(request.address());
+        if (!keepsConnection) {
             fail();
             return;
         }
@@ -228,8 +233,11 @@
         state = State.COMPLETED;
         timeout.remove();
         IoUtils.safeClose(connection);
-        if (before != State.EXPIRED) {
-            responseHandler.onResponse(before == State.SENT ? Environment.NO_RESPONSE : Environment.NOT_SENT, NO_BODY);
+        if (before == State.EXPIRED) {
+            client.lateConnections().ended(request.address());
+        } else {
+            int status = before == State.SENT ? Environment.NO_RESPONSE : Environment.NOT_SENT;
+            responseHandler.onResponse(status, NO_BODY);
         }
     }
 }
--- a/src/main/java/stileferry/transport/HttpClient.java
+++ b/src/main/java/stileferry/transport/HttpClient.java
@@ -17,6 +17,7 @@
     private final ByteBufferPool buffers;
     private final UndertowClient client = UndertowClient.getInstance();
     private final IdleConnections idleConnections;
+    private final LateConnections lateConnections = new LateConnections();
 
     /** Local address of outgoing connections, or null if the operating system chooses it. */
     private final InetSocketAddress sourceAddress;
@@ -49,6 +50,10 @@
         return idleConnections;
     }
 
+    LateConnections lateConnections() {
+        return lateConnections;
+    }
+
     XnioIoThread ioThread() {
         return ioThread;
     }
--- a/src/main/java/stileferry/transport/IdleConnections.java
+++ b/src/main/java/stileferry/transport/IdleConnections.java
@@ -9,7 +9,7 @@
 
 /** Pool of idle connections for reuse by later requests to the same address. */
 final class IdleConnections {
-    private static final int MAX_PER_ADDRESS = 16;
+    static final int MAX_PER_ADDRESS = 16;
 
     private final int maxConnections;
     private final Map<String, ArrayDeque<ClientConnection>> byAddress = new HashMap<>();
