--- a/src/test/java/stileferry/golden/GoldenStoredLeaderKeyTest.java
+++ b/src/test/java/stileferry/golden/GoldenStoredLeaderKeyTest.java
@@ -47,6 +47,15 @@
         assertTrue(fixture.store.requests.contains("DELETE /leases/3"), fixture.store.requests::toString);
     }
 
+    /** Guards against a lease that a leader of a large fleet has recorded and that the next one forgets. */
+    @Test
+    void leaseThatTheFleetNeedsIsTakenOverFromTheStoredTerm() {
+        ControllerFixture leader = ControllerFixture.startLeader(
+                new FakeKeyValueStore().withValue("a/term", "{\"term\":5,\"lease_ms\":2500}"));
+        String changes = leader.store.commits.get(0).path("apply").toString();
+        assertTrue(changes.contains("\"put\":\"a/term\",\"v\":{\"term\":6,\"lease_ms\":2500}"), changes);
+    }
+
     @Test
     void followersWatchAndLeadersReadTheExpectedPrefixes() {
         ControllerFixture follower = follower();
