Rest less after a pass that was cut short and has left tasks to start

A pass that was cut short now rests twice as long as it took; all others rest as before. The call in PassPauseTest names that its pass was not cut short; its assertions are unchanged.

--- a/src/main/java/stileferry/coordination/PassPause.java
+++ b/src/main/java/stileferry/coordination/PassPause.java
@@ -10,7 +10,11 @@
     /** Minimum pause between passes, as a multiple of the duration of the last pass. */
     private static final long FACTOR = 5;
 
+    /** The same after a pass that was cut short and has left tasks to start. */
+    private static final long FACTOR_AFTER_SHORTENED_PASS = 2;
+
     private final EventLoopLag eventLoopLag;
+    private long factor = FACTOR;
     private long lastPassTookMs;
     private long lastPassEndedAt;
 
@@ -18,15 +22,20 @@
         this.eventLoopLag = eventLoopLag;
     }
 
-    /** Records a pass. */
-    void passEnded(long now, long tookMs) {
+    /**
+     * Records a pass.
+     *
+     * @param shortened whether the pass started less than passes usually may, and there is more to start
+     */
+    void passEnded(long now, long tookMs, boolean shortened) {
+        factor = shortened ? FACTOR_AFTER_SHORTENED_PASS : FACTOR;
         lastPassEndedAt = now;
         lastPassTookMs = tookMs;
     }
 
     /** Returns the length of the pause after the last pass in milliseconds. */
     long lengthMs() {
-        return FACTOR * lastPassTookMs;
+        return factor * lastPassTookMs;
     }
 
     /**
--- a/src/main/java/stileferry/coordination/PassSize.java
+++ b/src/main/java/stileferry/coordination/PassSize.java
@@ -29,6 +29,11 @@
         return starts;
     }
 
+    /** Returns whether passes start less than they usually may. */
+    boolean isReduced() {
+        return starts < Placement.MAX_STARTS;
+    }
+
     /**
      * Records a pass.
      *
--- a/src/main/java/stileferry/coordination/SchedulingLoop.java
+++ b/src/main/java/stileferry/coordination/SchedulingLoop.java
@@ -100,7 +100,7 @@
             schedulingPass.run(regular, callbacks.allWorkersHeard());
         }
         long tookMs = environment.now() - startedAt;
-        pause.passEnded(environment.now(), tookMs);
+        pause.passEnded(environment.now(), tookMs, size.isReduced() && placement.stoppedEarly());
         size.passEnded(tookMs, placement.stoppedEarly());
         if (tookMs > SLOW_PASS_MS) {
             LOG.info(
--- a/src/test/java/stileferry/coordination/PassPauseTest.java
+++ b/src/test/java/stileferry/coordination/PassPauseTest.java
@@ -26,7 +26,7 @@
             environment.pause(lateMs);
         }
         cluster.runFor(2);
-        pause.passEnded(environment.now(), PASS_MS);
+        pause.passEnded(environment.now(), PASS_MS, false);
         return environment.now();
     }
 
