Start as many tasks in a pass as before unless it takes longer than a second

Most of a pass's time there does not come from its starts, so a small limit was never left again. The limit is now the usual 400, and 200 while passes take longer than a second.

--- a/src/main/java/stileferry/coordination/PassSize.java
+++ b/src/main/java/stileferry/coordination/PassSize.java
@@ -7,16 +7,16 @@
  * wait for the answers that a pass holds up; the rest follows in the next passes.
  */
 final class PassSize {
-    private static final int MIN_STARTS = 100;
+    private static final int MIN_STARTS = 200;
 
     /** Half of the time that users wait for an answer. */
     private static final double MAX_PASS_MS = 1000;
 
     private final double maxPassMs;
-    private int starts = MIN_STARTS;
+    private int starts = Placement.MAX_STARTS;
 
     /**
-     * Creates the size of the first pass.
+     * Creates the size of the first pass, which is the usual one.
      *
      * @param slowdownFactor by what factor this controller is slower than one with a sufficient share of a core
      */
@@ -42,7 +42,7 @@
     void passEnded(long tookMs, boolean stoppedEarly) {
         if (tookMs > maxPassMs) {
             starts = Math.max(MIN_STARTS, starts / 2);
-        } else if (stoppedEarly && tookMs < maxPassMs / 2) {
+        } else if (stoppedEarly) {
             starts = Math.min(Placement.MAX_STARTS, starts * 2);
         }
     }
