--- a/src/main/java/stileferry/coordination/QuestionForwarder.java
+++ b/src/main/java/stileferry/coordination/QuestionForwarder.java
@@ -8,7 +8,8 @@
 import stileferry.requests.RequestForwarder;
 
 /**
- * Forwards users' questions about jobs to the leader: a few in messages of their own, and all others together in batches, so that a leader that answers seconds late still answers all of them at once.
+ * Forwards users' questions about jobs to the leader: a few in messages of their own, and all others together in
+ * batches, so that a leader that answers seconds late still answers all of them at once.
  */
 final class QuestionForwarder {
     /** Questions in flight in messages of their own: about as many connections as are kept open to one controller. */
