--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -606,6 +606,24 @@
         }
     }
 
+    /** Lets every task fail that a machine starts from now on, or ends that. */
+    void setSick(String machine, boolean sick) {
+        synchronized (lock) {
+            workers.get(machine).worker.setFaulty(sick);
+        }
+        note(machine + (sick ? " fails every task that it starts from now on" : " is sound again"));
+    }
+
+    /** Returns the machines of a zone that are up. */
+    List<String> machinesIn(String zone) {
+        synchronized (lock) {
+            return workers.values().stream()
+                    .filter(host -> host.zone.equals(zone))
+                    .map(host -> host.machine)
+                    .toList();
+        }
+    }
+
     /** Returns how many tasks of a job are on machines. */
     long running(String jobId) {
         synchronized (lock) {
