What the leader knows of a worker's lease in a class of its own, LeaseState

Change: the lease's fields and methods move to LeaseState, unchanged but for one thing: "never answered" is LeaseState.NEVER, as for the other times, and no longer 0. No behaviour changes. LatestRenewal reads LeaseState alone.

--- a/src/main/java/stileferry/autoscaling/ScaleInPass.java
+++ b/src/main/java/stileferry/autoscaling/ScaleInPass.java
@@ -143,7 +143,7 @@
 
     private boolean leaseExpiredAndEmpty(Machine machine) {
         AgentState agent = machine.agent();
-        return agent.expiredIncarnation() >= agent.incarnation()
+        return agent.lease().expiredIncarnation() >= agent.incarnation()
                 && machine.assignments().isEmpty()
                 && !machine.instance().booting()
                 && Math.min(heartbeatWindowMs(machine), now - agent.lastHeardAt()) > GIVE_UP_AFTER_LEASES * leaseMs;
--- a/src/main/java/stileferry/cluster/AgentState.java
+++ b/src/main/java/stileferry/cluster/AgentState.java
@@ -12,16 +12,11 @@
  * incarnation. Times are milliseconds on the controller's steady clock.
  */
 public final class AgentState {
-    /** Stands for a time that is unknown or has not been reached. */
-    public static final long NEVER = -1;
-
     private boolean heardThisTerm;
     private long lastHeardAt;
     private long incarnation;
-    private long incarnationSeenAt;
     private long sequence;
     private long fencingToken;
-    private long termAcknowledgedAt = NEVER;
     private Heartbeat lastHeartbeat;
     private boolean reconciled;
     private boolean hasOrphanTasks;
@@ -29,11 +24,8 @@
     private long heartbeatIncarnation;
     private long heartbeatSequence;
 
-    private long lastAnsweredAt;
-    private long answeredByPreviousLeaderAt = NEVER;
-    private long answeredByPreviousLeaderIncarnation;
-    private LastHeartbeatRecord lastHeartbeatRecord;
-    private long expiredIncarnation;
+    private final LeaseState lease = new LeaseState();
+
     private long unreachableSince;
 
     private Set<String> startsInLastResponse = Set.of();
@@ -63,14 +55,9 @@
         return incarnation;
     }
 
-    /** Returns when this incarnation was first seen; its lease began no later than that. */
-    public long incarnationSeenAt() {
-        return incarnationSeenAt;
-    }
-
     /** Records that a new incarnation was seen. Commands sent to an older one can't be carried out any more. */
     public void beginIncarnation(long now) {
-        incarnationSeenAt = now;
+        lease.recordIncarnation(now);
         unansweredDirectStarts.clear();
         nonDurableOutcomes.clear();
     }
@@ -85,18 +72,6 @@
         return fencingToken;
     }
 
-    /**
-     * Returns when a status first showed that the agent has acknowledged this term, or {@link #NEVER} if none has. From
-     * then on at the latest the agent drops responses of former leaders.
-     */
-    public long termAcknowledgedAt() {
-        return termAcknowledgedAt;
-    }
-
-    public void recordTermAcknowledged(long now) {
-        termAcknowledgedAt = now;
-    }
-
     /** Records the newest status except its tasks, which {@link #setLastHeartbeat} adds later. */
     public void recordStatus(Heartbeat status, long now) {
         heardThisTerm = true;
@@ -114,7 +89,7 @@
         sequence = heartbeat.sequence();
         lastHeartbeat = heartbeat;
         lastHeardAt = now;
-        lastAnsweredAt = now;
+        lease.markAnswered(now);
         startsInLastResponse = Set.of();
     }
 
@@ -173,58 +148,9 @@
 
     // ---- lease
 
-    /** Returns when a heartbeat of the agent was last answered in this term, or 0 if none was. */
-    public long lastAnsweredAt() {
-        return lastAnsweredAt;
-    }
-
-    public void markAnswered(long now) {
-        lastAnsweredAt = now;
-    }
-
-    /** Returns when the previous leader last answered a heartbeat, as it recorded that, or {@link #NEVER}. */
-    public long answeredByPreviousLeaderAt() {
-        return answeredByPreviousLeaderAt;
-    }
-
-    /** Returns the incarnation whose heartbeat the previous leader last answered. */
-    public long answeredByPreviousLeaderIncarnation() {
-        return answeredByPreviousLeaderIncarnation;
-    }
-
-    /** Sets which incarnation the previous leader last answered and when, as that leader recorded it. */
-    public void recordAnsweredByPreviousLeader(long answeredIncarnation, long answeredAt) {
-        answeredByPreviousLeaderIncarnation = answeredIncarnation;
-        answeredByPreviousLeaderAt = answeredAt;
-    }
-
-    /** Returns the stored record of when the agent's last heartbeat was answered, or null if there is none. */
-    public LastHeartbeatRecord lastHeartbeatRecord() {
-        return lastHeartbeatRecord;
-    }
-
-    public void setLastHeartbeatRecord(LastHeartbeatRecord heartbeatRecord) {
-        lastHeartbeatRecord = heartbeatRecord;
-    }
-
-    /** Marks the last heartbeat record, if there is one, as no longer needed in the store. */
-    public void discardLastHeartbeatRecord() {
-        if (lastHeartbeatRecord != null) {
-            lastHeartbeatRecord.markObsolete();
-            lastHeartbeatRecord = null;
-        }
-    }
-
-    /**
-     * Returns the highest incarnation whose lease is proven to have expired, or will have expired by the time the agent
-     * is heard from again, or 0 if there is none.
-     */
-    public long expiredIncarnation() {
-        return expiredIncarnation;
-    }
-
-    public void expireIncarnation(long expired) {
-        expiredIncarnation = expired;
+    /** Returns what is known about the agent's lease. */
+    public LeaseState lease() {
+        return lease;
     }
 
     // ---- commands
--- a/src/main/java/stileferry/cluster/ClusterState.java
+++ b/src/main/java/stileferry/cluster/ClusterState.java
@@ -141,7 +141,7 @@
     /** Removes a machine whose deletion the cloud has confirmed. */
     public void removeDeletedMachine(Machine machine) {
         freeCapacity.remove(machine);
-        machine.agent().discardLastHeartbeatRecord();
+        machine.agent().lease().discardLastHeartbeatRecord();
         machines.remove(machine.name());
         deletedMachines.add(machine.name());
         linkHealth.workerRemoved(machine.name());
--- a/src/main/java/stileferry/heartbeat/HeartbeatHandler.java
+++ b/src/main/java/stileferry/heartbeat/HeartbeatHandler.java
@@ -85,7 +85,7 @@
             return;
         }
         Machine machine = cluster.getOrAddMachine(heartbeat.machine());
-        if (machine.agent().lastHeartbeatRecord() == null) {
+        if (machine.agent().lease().lastHeartbeatRecord() == null) {
             reply.accept(answer(machine, heartbeat));
             return;
         }
@@ -105,7 +105,7 @@
         }
         unreachableAgentDetector.check(machine, heartbeat);
         boolean fresh = reconciliation.reconcile(machine, heartbeat, HeartbeatReconciliation.Origin.HEARTBEAT);
-        agent.markAnswered(environment.now());
+        agent.lease().markAnswered(environment.now());
         List<WorkerCommand> commands =
                 fresh ? commandPlanner.commandsFor(machine, CommandPlanner.Delivery.HEARTBEAT_RESPONSE) : List.of();
         agent.setStartsInLastResponse(startedAttempts(commands));
@@ -138,7 +138,7 @@
     public byte[] renewLeaseBeforeRecovery(Heartbeat heartbeat) {
         Machine machine = cluster.getOrAddMachine(heartbeat.machine());
         machine.setAddress(heartbeat.address());
-        machine.agent().markAnswered(environment.now());
+        machine.agent().lease().markAnswered(environment.now());
         return response(leadership.cancellations().killCommandsFor(heartbeat));
     }
 
--- a/src/main/java/stileferry/heartbeat/HeartbeatReconciliation.java
+++ b/src/main/java/stileferry/heartbeat/HeartbeatReconciliation.java
@@ -69,7 +69,7 @@
     private static boolean outdated(AgentState agent, Heartbeat heartbeat) {
         return heartbeat.incarnation() < agent.incarnation()
                 || heartbeat.incarnation() == agent.incarnation() && heartbeat.sequence() <= agent.sequence()
-                || heartbeat.incarnation() <= agent.expiredIncarnation();
+                || heartbeat.incarnation() <= agent.lease().expiredIncarnation();
     }
 
     private void updateIncarnation(Machine machine, Heartbeat heartbeat, long now) {
@@ -100,7 +100,7 @@
                 commandDispatcher.queueProbe(machine); // does not wait for the next heartbeat, as work may be waiting
             }
         } else if (agent.fencingToken() < term && heartbeat.fencingToken() >= term) {
-            agent.recordTermAcknowledged(now);
+            agent.lease().recordTermAcknowledged(now);
             agent.markReachable();
             taskObserver.schedulingInputChanged();
         }
--- a/src/main/java/stileferry/heartbeat/LastHeartbeatJournal.java
+++ b/src/main/java/stileferry/heartbeat/LastHeartbeatJournal.java
@@ -135,7 +135,7 @@
             }
             long elapsedMs = environment.timeOfDay() - record.answeredAt() - (long) Math.ceil(2 * clockErrorMs);
             long answeredAt = Math.max(environment.now() - elapsedMs, leadership.consentedToLeaderlessRenewalAt());
-            machine.agent().recordAnsweredByPreviousLeader(record.incarnation(), answeredAt);
+            machine.agent().lease().recordAnsweredByPreviousLeader(record.incarnation(), answeredAt);
             restored++;
         }
         if (restored > 0) {
@@ -149,13 +149,13 @@
      */
     void recordLastHeartbeat(Machine machine, long incarnation, long answeredAt) {
         long elapsedMs = environment.now() - answeredAt;
-        if (machine.agent().lastHeartbeatRecord() == null
+        if (machine.agent().lease().lastHeartbeatRecord() == null
                 && !machine.assignments().isEmpty()
                 && elapsedMs > RECORD_AFTER_HEARTBEATS * heartbeatIntervalMs
                 && leadership.leaseHeld()) {
             LastHeartbeatRecord record =
                     new LastHeartbeatRecord(machine.name(), incarnation, environment.timeOfDay() - elapsedMs, term);
-            machine.agent().setLastHeartbeatRecord(record);
+            machine.agent().lease().setLastHeartbeatRecord(record);
             commitQueue.appendEvent(new LastHeartbeatEvent(record), null);
         }
     }
@@ -174,7 +174,7 @@
         }
         pendingByMachine.put(machine, new ArrayList<>(List.of(heartbeat)));
         commitQueue.appendEvent(new HeartbeatsResumedEvent(machine.name()), () -> {
-            machine.agent().discardLastHeartbeatRecord();
+            machine.agent().lease().discardLastHeartbeatRecord();
             pendingByMachine.remove(machine).forEach(waiting -> waiting.answer.run());
         });
     }
--- a/src/main/java/stileferry/heartbeat/LatestRenewal.java
+++ b/src/main/java/stileferry/heartbeat/LatestRenewal.java
@@ -1,7 +1,7 @@
 package stileferry.heartbeat;
 
 import java.util.Locale;
-import stileferry.cluster.AgentState;
+import stileferry.cluster.LeaseState;
 
 /**
  * The latest time at which any controller can have renewed the lease of an agent's incarnation, for the leader of one
@@ -34,27 +34,27 @@
     }
 
     /**
-     * Determines the latest renewal from what this leader knows of the agent.
+     * Determines the latest renewal from what this leader knows of the lease.
      *
      * @param acknowledgedByAllPeersAt when the last controller acknowledged this term, or negative if not all of them
      *     have
      * @return null as long as a former leader may still renew the lease
      */
-    static LatestRenewal of(AgentState agent, long incarnation, long acknowledgedByAllPeersAt) {
+    static LatestRenewal of(LeaseState lease, long incarnation, long acknowledgedByAllPeersAt) {
         LatestRenewal ofFormerLeaders = null;
-        if (agent.termAcknowledgedAt() >= 0) {
-            ofFormerLeaders = earlier(ofFormerLeaders, agent.termAcknowledgedAt(), Proof.ACKNOWLEDGED_BY_AGENT);
+        if (lease.termAcknowledgedAt() >= 0) {
+            ofFormerLeaders = earlier(ofFormerLeaders, lease.termAcknowledgedAt(), Proof.ACKNOWLEDGED_BY_AGENT);
         }
         if (acknowledgedByAllPeersAt >= 0) {
             ofFormerLeaders = earlier(ofFormerLeaders, acknowledgedByAllPeersAt, Proof.ACKNOWLEDGED_BY_CONTROLLERS);
         }
-        if (agent.answeredByPreviousLeaderAt() >= 0 && incarnation <= agent.answeredByPreviousLeaderIncarnation()) {
+        if (lease.answeredByPreviousLeaderAt() >= 0 && incarnation <= lease.answeredByPreviousLeaderIncarnation()) {
             ofFormerLeaders =
-                    earlier(ofFormerLeaders, agent.answeredByPreviousLeaderAt(), Proof.RECORDED_BY_PREVIOUS_LEADER);
+                    earlier(ofFormerLeaders, lease.answeredByPreviousLeaderAt(), Proof.RECORDED_BY_PREVIOUS_LEADER);
         }
         return ofFormerLeaders == null
                 ? null
-                : ofFormerLeaders.notBefore(Math.max(agent.lastAnsweredAt(), agent.incarnationSeenAt()));
+                : ofFormerLeaders.notBefore(Math.max(lease.lastAnsweredAt(), lease.incarnationSeenAt()));
     }
 
     private static LatestRenewal earlier(LatestRenewal known, long at, Proof proof) {
--- a/src/main/java/stileferry/heartbeat/LeaseExpiry.java
+++ b/src/main/java/stileferry/heartbeat/LeaseExpiry.java
@@ -5,6 +5,7 @@
 import org.slf4j.LoggerFactory;
 import stileferry.cluster.AgentState;
 import stileferry.cluster.ClusterState;
+import stileferry.cluster.LeaseState;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
 import stileferry.leadership.LeaderElection;
@@ -23,9 +24,6 @@
     /** Margin for late timers and packets. */
     private static final long EXPIRY_MARGIN_MS = 500;
 
-    /** Logged in place of how long ago something happened that has not. */
-    private static final long UNKNOWN = -1;
-
     private final ClusterState cluster;
     private final Environment environment;
     private final LeaderElection leadership;
@@ -57,10 +55,10 @@
         long acknowledgedByAllPeersAt = leadership.acknowledgedByAllPeersAt();
         for (Machine machine : cluster.machines().values()) {
             long incarnation = highestIncarnation(machine);
-            if (incarnation <= machine.agent().expiredIncarnation()) {
+            if (incarnation <= machine.agent().lease().expiredIncarnation()) {
                 continue;
             }
-            LatestRenewal renewal = LatestRenewal.of(machine.agent(), incarnation, acknowledgedByAllPeersAt);
+            LatestRenewal renewal = LatestRenewal.of(machine.agent().lease(), incarnation, acknowledgedByAllPeersAt);
             if (renewal == null) {
                 continue;
             }
@@ -91,13 +89,18 @@
                     incarnation,
                     now - renewal.at(),
                     renewal.formerLeadersStopped().label(),
-                    agent.lastAnsweredAt() == 0 ? UNKNOWN : now - agent.lastAnsweredAt(),
-                    agent.termAcknowledgedAt() < 0 ? UNKNOWN : now - agent.termAcknowledgedAt());
+                    elapsedMs(agent.lease().lastAnsweredAt(), now),
+                    elapsedMs(agent.lease().termAcknowledgedAt(), now));
         }
     }
 
+    /** Returns how long ago something happened, or {@link LeaseState#NEVER} if it has not. */
+    private static long elapsedMs(long since, long now) {
+        return since == LeaseState.NEVER ? LeaseState.NEVER : now - since;
+    }
+
     private void expire(Machine machine, long incarnation) {
-        machine.agent().expireIncarnation(incarnation);
+        machine.agent().lease().expireIncarnation(incarnation);
         for (TaskAssignment assignment : List.copyOf(machine.assignments().values())) {
             taskObserver.taskProvenGone(assignment, SettlementProof.LEASE_EXPIRED);
         }
--- a/src/main/java/stileferry/heartbeat/LeaseRenewalPolicy.java
+++ b/src/main/java/stileferry/heartbeat/LeaseRenewalPolicy.java
@@ -25,7 +25,7 @@
         }
         Machine machine = cluster.getOrAddMachine(heartbeat.machine());
         if (machine.instance().terminating()
-                || heartbeat.incarnation() <= machine.agent().expiredIncarnation()) {
+                || heartbeat.incarnation() <= machine.agent().lease().expiredIncarnation()) {
             return false; // its tasks count as gone, or soon will
         }
         return !outdated(machine.agent(), heartbeat);
--- a/src/main/java/stileferry/heartbeat/UnreachableAgentDetector.java
+++ b/src/main/java/stileferry/heartbeat/UnreachableAgentDetector.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 import stileferry.cluster.AgentState;
 import stileferry.cluster.ClusterState;
+import stileferry.cluster.LeaseState;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
 import stileferry.protocol.Environment;
@@ -48,8 +49,8 @@
     private boolean leaseExpiredAlthoughAnswered(AgentState agent, Heartbeat heartbeat) {
         return heartbeat.incarnation() > agent.incarnation()
                 && agent.incarnation() > 0
-                && agent.lastAnsweredAt() != 0
-                && environment.now() - agent.lastAnsweredAt() < leaseMs;
+                && agent.lease().lastAnsweredAt() != LeaseState.NEVER
+                && environment.now() - agent.lease().lastAnsweredAt() < leaseMs;
     }
 
     private static boolean ignoredStarts(Machine machine, Heartbeat heartbeat) {
--- a/src/main/java/stileferry/scheduling/PlacementConstraints.java
+++ b/src/main/java/stileferry/scheduling/PlacementConstraints.java
@@ -33,7 +33,7 @@
 
     private boolean isHealthy(Machine machine, long now) {
         return machine.schedulable()
-                && machine.agent().lastHeartbeatRecord() == null
+                && machine.agent().lease().lastHeartbeatRecord() == null
                 && now >= machine.instance().cordonedUntil()
                 && now - machine.agent().lastHeardAt()
                         < UNREACHABLE_AFTER_HEARTBEAT_INTERVALS
