Failing tests: a copy of an answered start runs a task again

Change: RepeatedRequests delivers requests to workers, to the store and between controllers again, once or several times, up to three leases later; the stand-in worker says when a start of a cleared attempt is carried out (started_again), and keeps job specs after their job has ended; LinkFaults.REPEATED and two kinds of soak faults.

--- a/src/main/java/stileferry/standin/LinkFaults.java
+++ b/src/main/java/stileferry/standin/LinkFaults.java
@@ -32,7 +32,13 @@
          * The message arrives late: a transaction or a direct command is processed seconds later, without a response; a
          * heartbeat is answered, and a copy of it arrives again later.
          */
-        LATE
+        LATE,
+
+        /**
+         * The request is processed and answered; a transaction or a direct command then arrives again, once or several
+         * times.
+         */
+        REPEATED
     }
 
     /**
--- a/src/main/java/stileferry/standin/Worker.java
+++ b/src/main/java/stileferry/standin/Worker.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import stileferry.protocol.ExitReason;
 import stileferry.protocol.Heartbeat.TaskPhase;
@@ -28,6 +30,7 @@
     private final TaskListener taskListener;
     private final GangSimulation gangs;
     private final Map<String, WorkerTask> tasksByAttempt = new LinkedHashMap<>();
+    private final Set<String> clearedAttempts = new HashSet<>();
     private long incarnation = 1;
     private long sequence;
     private long fencingToken;
@@ -57,6 +60,9 @@
 
         /** Called when a task that had started is no longer on the machine. */
         void taskEnded(String task, Worker worker);
+
+        /** Called when the worker carries out the start of an attempt that a command had cleared before. */
+        default void clearedAttemptStarted(String attemptId, Worker worker) {}
     }
 
     /**
@@ -292,6 +298,7 @@
             case CLEAR -> {
                 if (task != null && task.exited()) {
                     tasksByAttempt.remove(command.attemptId());
+                    clearedAttempts.add(command.attemptId());
                 }
             }
         }
@@ -314,6 +321,9 @@
         String jobId = command.taskId().substring(0, command.taskId().indexOf('/'));
         JobSpec spec = jobSpecs.apply(jobId);
         heartbeatDue = true;
+        if (clearedAttempts.contains(command.attemptId())) {
+            taskListener.clearedAttemptStarted(command.attemptId(), this);
+        }
         WorkerTask task = new WorkerTask(this, command.taskId(), command.attempt(), spec);
         ExitReason rejection = startRejection(task);
         tasksByAttempt.put(command.attemptId(), task);
--- a/src/main/java/stileferry/transport/StandInServer.java
+++ b/src/main/java/stileferry/transport/StandInServer.java
@@ -5,7 +5,9 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
@@ -40,6 +42,8 @@
     static final long MIN_LATE_MS = 2000;
 
     static final long MAX_LATE_MS = 12_000;
+    private static final long MIN_REPEAT_MS = 200;
+    private static final int MAX_COPIES = 3;
 
     private static final long TICK_INTERVAL_MS = 50;
     private static final String LOOPBACK = "127.0.0.1";
@@ -59,6 +63,9 @@
 
     private volatile boolean closed;
 
+    /** The specs of jobs of which a task was started, by job id. */
+    private final Map<String, JobSpec> knownJobSpecs = new HashMap<>();
+
     /**
      * The size and the timing of the simulated deployment.
      *
@@ -214,11 +221,15 @@
             }
             case REQUEST_LOST -> {} // the sender times out and closes the connection
             case ANSWER_LOST -> serve(request, (status, response) -> {});
+            case REPEATED -> {
+                serve(request, reply);
+                repeatLater(request);
+            }
             case SLOW ->
                 loop.ioThread().executeAfter(() -> serve(request, reply), SLOW_LINK_DELAY_MS, TimeUnit.MILLISECONDS);
             case LATE -> {
                 if (mayBeLate(request)) {
-                    serveLate(request);
+                    serveLater(request, MIN_LATE_MS, MAX_LATE_MS);
                 } else {
                     serve(request, reply);
                 }
@@ -232,13 +243,23 @@
         return path.equals(KeyValueStoreProtocol.COMMIT_PATH) || path.equals("/commands");
     }
 
-    private void serveLate(Request request) {
+    /** Serves a request that was answered once more, or several times, from a fraction of a second later on. */
+    private void repeatLater(Request request) {
+        if (mayBeLate(request)) {
+            int copies = random.nextInt(1, MAX_COPIES + 1);
+            for (int copy = 0; copy < copies; copy++) {
+                serveLater(request, MIN_REPEAT_MS, MAX_LATE_MS);
+            }
+        }
+    }
+
+    private void serveLater(Request request, long minDelayMs, long maxDelayMs) {
         String method = request.exchange().getRequestMethod().toString();
         String path = request.exchange().getRequestPath();
         loop.ioThread()
                 .executeAfter(
                         () -> serve(request, method, path, (status, response) -> {}),
-                        random.nextLong(MIN_LATE_MS, MAX_LATE_MS),
+                        random.nextLong(minDelayMs, maxDelayMs),
                         TimeUnit.MILLISECONDS);
     }
 
@@ -289,10 +310,16 @@
         }
     }
 
+    /** Returns the spec of a job, also after the job has ended: workers get it from the users, not from the store. */
     private JobSpec jobSpec(String id) {
         JsonNode record = store.value("j/" + id);
+        if (record == null) {
+            return knownJobSpecs.get(id);
+        }
         try {
-            return record == null ? null : JobSpec.read(record.path("spec"));
+            JobSpec spec = JobSpec.read(record.path("spec"));
+            knownJobSpecs.put(id, spec);
+            return spec;
         } catch (InvalidJobSpecException e) {
             return null;
         }
--- a/src/main/java/stileferry/transport/StandInWorkers.java
+++ b/src/main/java/stileferry/transport/StandInWorkers.java
@@ -137,7 +137,7 @@
         LinkFaults.Effect effect =
                 faults.effectOn(worker.machine(), config.controllerNames().get(controllerIndex));
         switch (effect) {
-            case NONE -> postHeartbeat(worker, controllerIndex, false);
+            case NONE, REPEATED -> postHeartbeat(worker, controllerIndex, false);
             case REFUSED -> sendHeartbeatLater(NEXT_CONTROLLER_DELAY_MS, worker, nextController(controllerIndex));
             case REQUEST_LOST ->
                 sendHeartbeatLater(
--- a/src/test/java/stileferry/cli/SoakFault.java
+++ b/src/test/java/stileferry/cli/SoakFault.java
@@ -45,6 +45,8 @@
         LATE_TRANSACTIONS,
         LATE_HEARTBEATS,
         LATE_COMMANDS,
+        REPEATED_COMMANDS,
+        REPEATED_TRANSACTIONS,
         /** Responses and commands to half of the machines are lost; their heartbeats arrive. */
         DEAF_MACHINES,
         /** Half of the machines reach no controller; commands reach them. */
--- a/src/test/java/stileferry/cli/SoakRun.java
+++ b/src/test/java/stileferry/cli/SoakRun.java
@@ -228,6 +228,9 @@
             case LATE_HEARTBEATS ->
                 cutAs(Effect.LATE, fault, (from, to) -> happens(to, from, SoakCluster.isMachine(from)));
             case LATE_COMMANDS -> cutAs(Effect.LATE, fault, (from, to) -> happens(from, to, SoakCluster.isMachine(to)));
+            case REPEATED_COMMANDS ->
+                cutAs(Effect.REPEATED, fault, (from, to) -> happens(from, to, SoakCluster.isMachine(to)));
+            case REPEATED_TRANSACTIONS -> cutAs(Effect.REPEATED, fault, (from, to) -> happens(from, to, isStore(to)));
             case DEAF_MACHINES -> deafMachines(fault);
             case MUTE_MACHINES -> cutAs(Effect.REFUSED, fault, (from, to) -> SoakCluster.isInAffectedHalf(from));
             case HANGING_MACHINES -> {
--- a/src/test/java/stileferry/cli/TaskHistory.java
+++ b/src/test/java/stileferry/cli/TaskHistory.java
@@ -9,6 +9,7 @@
 /** Records all starts and ends of tasks on the workers, in order, and checks invariants on them. */
 final class TaskHistory implements Worker.TaskListener {
     private final List<Entry> entries = new ArrayList<>();
+    private final List<String> startedAgain = new ArrayList<>();
 
     /**
      * The start or end of a task on a machine.
@@ -27,6 +28,11 @@
         add(new Entry(now(), task, worker.machine(), false));
     }
 
+    @Override
+    public synchronized void clearedAttemptStarted(String attemptId, Worker worker) {
+        startedAgain.add(attemptId + " started again on " + worker.machine());
+    }
+
     /** Returns the time in milliseconds on the clock of the entries. */
     static long now() {
         return System.nanoTime() / 1_000_000;
@@ -64,14 +70,14 @@
     }
 
     /**
-     * Returns the violations found: a task that runs on two machines, or running tasks of the limited jobs that use
+     * Returns the violations found: a start of an attempt that was cleared, a task that runs on two machines, or running tasks of the limited jobs that use
      * more CPUs than their team may.
      *
      * @param cpusPerTask the jobs of the team that has a limit, with the CPUs of each of their tasks
      * @param maxCpus the team's limit
      */
     synchronized List<String> findViolations(Map<String, Double> cpusPerTask, double maxCpus) {
-        List<String> violations = new ArrayList<>();
+        List<String> violations = new ArrayList<>(startedAgain);
         Map<String, String> machines = new HashMap<>();
         double usedCpus = 0;
         for (Entry entry : entries) {
--- a/src/test/java/stileferry/coordination/InvariantChecks.java
+++ b/src/test/java/stileferry/coordination/InvariantChecks.java
@@ -15,6 +15,7 @@
  *
  * <ul>
  *   <li>ran_twice: two attempts of a task, or of a gang, run at the same time
+ *   <li>started_again: a machine carries out the start of an attempt that it was told to forget
  *   <li>ran_cancelled: a task starts after its cancellation was confirmed, or runs for longer than cancel_s after it
  *   <li>wrong_place: a task runs in a zone or on a spot instance that its job does not allow
  *   <li>quota: a team uses more CPUs than its limit
--- a/src/test/java/stileferry/coordination/InvariantsUnderFaultsTest.java
+++ b/src/test/java/stileferry/coordination/InvariantsUnderFaultsTest.java
@@ -11,6 +11,8 @@
 
 /** Runs seeded simulations with random faults, in which all invariants are checked continuously. */
 class InvariantsUnderFaultsTest {
+    private static final double REPEATED_REQUEST_RATE = 0.1;
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void invariantsHoldAndAllJobsEndUnderRandomFaults(long seed) {
@@ -39,6 +41,16 @@
         ChaosRun.assertAllJobsEnded(runWithIsolatedZones(seed, false));
     }
 
+    /** Runs in which requests of controllers arrive again after they were answered, beside all other faults. */
+    @ParameterizedTest
+    @MethodSource("seedsWithRepeatedRequests")
+    void invariantsHoldWithRequestsRepeatedAfterTheirAnswers(long seed) {
+        ChaosRun.assertAllJobsEnded(ChaosRun.run(seed, 120, cluster -> {
+            cluster.faults.neverSlowsControllers = true;
+            cluster.repeatedRequests.rate = REPEATED_REQUEST_RATE;
+        }));
+    }
+
     private static SimulatedCluster runWithIsolatedZones(long seed, boolean neverSlowsControllers) {
         return ChaosRun.run(seed, 120, cluster -> {
             cluster.faults.neverSlowsControllers = neverSlowsControllers;
@@ -50,6 +62,10 @@
         return LongStream.range(0, Integer.getInteger("days", 20)).map(i -> 3000 + i);
     }
 
+    private static LongStream seedsWithRepeatedRequests() {
+        return LongStream.range(0, Integer.getInteger("days", 20)).map(i -> 5300 + i);
+    }
+
     private static LongStream seedsWithLinkMonitoring() {
         return LongStream.range(0, Integer.getInteger("days", 20)).map(i -> 1000 + i);
     }
--- a/src/test/java/stileferry/coordination/RunningTasks.java
+++ b/src/test/java/stileferry/coordination/RunningTasks.java
@@ -56,6 +56,11 @@
         ends++;
     }
 
+    @Override
+    public void clearedAttemptStarted(String attemptId, Worker worker) {
+        cluster.violations.add("started_again: " + attemptId + " on " + worker.machine());
+    }
+
     /** Returns the machine and zone of each running task, as {@code machine|zone}, by task id. */
     Map<String, String> placements() {
         return placementByTask;
--- a/src/test/java/stileferry/coordination/SimulatedCluster.java
+++ b/src/test/java/stileferry/coordination/SimulatedCluster.java
@@ -48,6 +48,7 @@
     public final RunningTasks tasks = new RunningTasks(this);
     final SimulatedMachines machines = new SimulatedMachines(this);
     final SimulatedNetwork network = new SimulatedNetwork(this);
+    final RepeatedRequests repeatedRequests;
     final InvariantChecks invariants = new InvariantChecks(this);
     final GangStartCheck gangStartCheck = new GangStartCheck(store, id -> users.get(id).spec);
 
@@ -100,6 +101,7 @@
     /** Creates a cluster whose key-value store accepts {@code writesPerS} writes per second. */
     SimulatedCluster(long seed, int machinesPerPool, double heartbeatIntervalS, double redMaxCpus, double writesPerS) {
         random = new SplittableRandom(seed);
+        repeatedRequests = new RepeatedRequests(this, seed);
         heartbeatIntervalMs = Math.round(heartbeatIntervalS * 1000);
         leaseMs = 5 * heartbeatIntervalMs;
         settingsTemplate = SimulatedSettings.of("n0", heartbeatIntervalS, redMaxCpus, writesPerS);
--- a/src/test/java/stileferry/coordination/SimulatedEnvironment.java
+++ b/src/test/java/stileferry/coordination/SimulatedEnvironment.java
@@ -93,7 +93,8 @@
                     addr,
                     timeoutMs,
                     true,
-                    respond -> serveStoreRequest(method, path, sentBody, respond),
+                    cluster.repeatedRequests.repeating(
+                            addr, null, respond -> serveStoreRequest(method, path, sentBody, respond)),
                     onEventLoop);
         } else if (addr.equals(SimulatedCluster.CLOUD)) {
             callCloud(method, path, sentBody, timeoutMs, onEventLoop);
@@ -168,18 +169,21 @@
                 addr,
                 timeoutMs,
                 worker != null && cluster.network.partitionEndsAt(sender, addr) <= cluster.now,
-                respond -> {
-                    if (cluster.workers.get(addr) == worker && path.equals("/inspect")) {
-                        respond.onResponse(200, worker.heartbeat());
-                    } else if (cluster.workers.get(addr) == worker) {
-                        cluster.directCommandCount += body.path("signals").isEmpty() ? 0 : 1;
-                        int status = worker.handleCommands(body);
-                        respond.onResponse(status, status == 400 ? null : worker.heartbeat());
-                    }
-                },
+                cluster.repeatedRequests.repeating(
+                        addr, body, respond -> serveWorkerRequest(addr, worker, path, body, respond)),
                 reply);
     }
 
+    private void serveWorkerRequest(String addr, Worker worker, String path, JsonNode body, ResponseHandler reply) {
+        if (cluster.workers.get(addr) == worker && path.equals("/inspect")) {
+            reply.onResponse(200, worker.heartbeat());
+        } else if (cluster.workers.get(addr) == worker) {
+            cluster.directCommandCount += body.path("signals").isEmpty() ? 0 : 1;
+            int status = worker.handleCommands(body);
+            reply.onResponse(status, status == 400 ? null : worker.heartbeat());
+        }
+    }
+
     @Override
     public void sendToPeer(Settings.Peer peer, PeerMessage message, long timeoutMs, Consumer<PeerMessage> reply) {
         String sender = controller.name();
@@ -192,24 +196,33 @@
                 !cluster.faults.peerConnectionsRefused
                         && receiver.up()
                         && cluster.network.partitionEndsAt(sender, peer.name()) <= cluster.now,
-                respond -> {
-                    if (receiver.up()) {
-                        boolean oldFormat = cluster.controllersWithOldMessageFormat.contains(sender)
-                                || cluster.controllersWithOldMessageFormat.contains(peer.name());
-                        if (requiresFeatures(message) && predatesFeatures(peer.name())) {
-                            respond.onResponse(400, null); // such a version can't decode the message
-                            return;
-                        }
-                        receiver.environment.execute(() ->
-                                receiver.coordinator.handlePeerMessage(transcode(message, oldFormat), response -> {
-                                    received[0] = transcode(response, oldFormat);
-                                    respond.onResponse(200, null);
-                                }));
-                    }
-                },
+                cluster.repeatedRequests.repeating(
+                        peer.name(), null, respond -> servePeerMessage(sender, receiver, message, received, respond)),
                 (status, body) -> execute(() -> reply.accept(status == 200 ? received[0] : null)));
     }
 
+    private void servePeerMessage(
+            String sender,
+            ControllerNode receiver,
+            PeerMessage message,
+            PeerMessage[] received,
+            ResponseHandler reply) {
+        if (!receiver.up()) {
+            return;
+        }
+        if (requiresFeatures(message) && predatesFeatures(receiver.name())) {
+            reply.onResponse(400, null); // such a version can't decode the message
+            return;
+        }
+        boolean oldFormat = cluster.controllersWithOldMessageFormat.contains(sender)
+                || cluster.controllersWithOldMessageFormat.contains(receiver.name());
+        receiver.environment.execute(
+                () -> receiver.coordinator.handlePeerMessage(transcode(message, oldFormat), response -> {
+                    received[0] = transcode(response, oldFormat);
+                    reply.onResponse(200, null);
+                }));
+    }
+
     /** Returns whether a controller runs a version that has no optional features, such as link views. */
     private boolean predatesFeatures(String node) {
         return cluster.controllersWithOldMessageFormat.contains(node)
