Clear an attempt only with a fencing token above those of its direct starts

Cause: an answered direct request was taken for one that can't arrive again, so the machine was told to forget the attempt, and a copy of the start ran it once more: token and session still matched. Class: a right taken to have lapsed ("answered, so it is over") without anything that revokes it. The start without an answer rested on it, too: its repetition made the worker know the attempt, which the clear then undid. Change: a term owns 4,096 tokens, of which the stored and announced term is the last; attempts, transactions and rentals are numbered by the first. Ended attempts that were started directly stay in the worker's memory, 16 at most, until the answer to a heartbeat raises the machine's token and clears them: from then on every earlier request to it gets 409. A stopped start that was never seen is settled by a raise instead of being repeated, so tasks of cancelled jobs are not started for it. What a raise rejects on its way is sent again. Without tokens left, starts go out in answers to heartbeats, which are never late. A machine that reports an attempt it was told to forget is an invariant violation; debug lines say token, incarnation and commands. Why it works: the answer that clears shows a token above that of every direct start of the attempt, and a worker obeys no lower one afterwards, whatever arrives, however often, in this term or a later one; sessions and later terms only raise it. The golden test of clears starts its tasks in an answer, and a second one pins that directly started tasks are not cleared with the same token.

--- a/src/main/java/stileferry/cluster/AgentState.java
+++ b/src/main/java/stileferry/cluster/AgentState.java
@@ -1,8 +1,6 @@
 package stileferry.cluster;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import stileferry.protocol.Heartbeat;
 
@@ -30,9 +28,8 @@
 
     private Set<String> startsInLastResponse = Set.of();
     private final Set<String> nonDurableOutcomes = new HashSet<>();
-
-    /** The number of direct start commands without a response, by attempt id. */
-    private final Map<String, Integer> unansweredDirectStarts = new HashMap<>();
+    private final StartFence startFence = new StartFence();
+    private final ForgottenAttempts forgottenAttempts = new ForgottenAttempts();
 
     // ---- status
 
@@ -58,7 +55,7 @@
     /** Records that a new incarnation was seen. Commands sent to an older one can't be carried out any more. */
     public void beginIncarnation(long now) {
         lease.recordIncarnation(now);
-        unansweredDirectStarts.clear();
+        startFence.beginIncarnation();
         nonDurableOutcomes.clear();
     }
 
@@ -72,13 +69,18 @@
         return fencingToken;
     }
 
-    /** Records the newest status except its tasks, which {@link #setLastHeartbeat} adds later. */
-    public void recordStatus(Heartbeat status, long now) {
+    /**
+     * Records the newest status except its tasks, which {@link #setLastHeartbeat} adds later.
+     *
+     * @param firstToken the first fencing token of this term
+     */
+    public void recordStatus(Heartbeat status, long firstToken, long now) {
         heardThisTerm = true;
         lastHeardAt = now;
         incarnation = status.incarnation();
         sequence = status.sequence();
         fencingToken = status.fencingToken();
+        startFence.acknowledge(fencingToken - firstToken);
     }
 
     /**
@@ -193,18 +195,18 @@
         return nonDurableOutcomes.contains(attemptId);
     }
 
-    /** Records that a start command was sent directly instead of in the response to a heartbeat. */
-    public void recordDirectStartSent(String attemptId) {
-        unansweredDirectStarts.merge(attemptId, 1, Integer::sum);
+    /** Returns the fence against direct requests that arrive late or once more. */
+    public StartFence startFence() {
+        return startFence;
     }
 
-    /** Records that the agent responded to a direct start command. */
-    public void recordDirectStartAnswered(String attemptId) {
-        unansweredDirectStarts.computeIfPresent(attemptId, (any, commands) -> commands == 1 ? null : commands - 1);
+    /** Records that the agent is told to forget an attempt. */
+    public void recordClear(String attemptId) {
+        forgottenAttempts.recordClear(attemptId);
     }
 
-    /** Returns whether a direct start command has no response yet, so that it may still be carried out at any time. */
-    public boolean hasUnansweredDirectStart(String attemptId) {
-        return unansweredDirectStarts.containsKey(attemptId);
+    /** Returns a reported attempt that the agent had been told to forget and had forgotten, or null. */
+    public Heartbeat.TaskStatus findForgottenAttempt(Heartbeat status) {
+        return forgottenAttempts.update(status);
     }
 }
--- a/src/main/java/stileferry/cluster/InvariantMonitor.java
+++ b/src/main/java/stileferry/cluster/InvariantMonitor.java
@@ -22,6 +22,8 @@
         START_WITHIN_TEAM_LIMIT,
         /** No task is started for the first time after its job's cancellation has been confirmed. */
         NO_START_AFTER_CONFIRMED_CANCELLATION,
+        /** A machine that was told to forget an attempt never reports it again. */
+        FORGOTTEN_ATTEMPT_STAYS_FORGOTTEN,
         /** A leader that holds its lease becomes ready to answer. */
         LEADER_BECOMES_READY,
         /** The leader holds its lease when an answer that it gives from its model has left. */
--- a/src/main/java/stileferry/cluster/Machine.java
+++ b/src/main/java/stileferry/cluster/Machine.java
@@ -54,9 +54,12 @@
         return instance;
     }
 
-    /** Returns whether the agent has acknowledged a term, so that it rejects commands and renewals of older leaders. */
-    public boolean hasAcknowledgedTerm(long term) {
-        return agent.fencingToken() >= term;
+    /**
+     * Returns whether the agent has acknowledged a term, given by its first fencing token, so that it rejects commands
+     * and renewals of older leaders.
+     */
+    public boolean hasAcknowledgedTerm(long firstToken) {
+        return agent.fencingToken() >= firstToken;
     }
 
     /** Returns whether the state of the machine permits new tasks to start on it, regardless of its free capacity. */
@@ -71,6 +74,12 @@
                 && agent.unreachableSince() == 0;
     }
 
+    /** Returns whether a reported attempt is the one assigned to this machine. */
+    public boolean isAssigned(Heartbeat.TaskStatus status) {
+        TaskAssignment assignment = assignments.get(status.taskId());
+        return assignment != null && assignment.attempt() == status.attempt();
+    }
+
     /** Returns the tasks in the newest status of the agent, or an empty list if there is no status. */
     public List<Heartbeat.TaskStatus> reportedTasks() {
         return agent.lastHeartbeat() == null ? List.of() : agent.lastHeartbeat().tasks();
--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -7,6 +7,7 @@
 import org.slf4j.LoggerFactory;
 import stileferry.cluster.InvariantMonitor;
 import stileferry.heartbeat.EventLoopLag;
+import stileferry.leadership.FencingTokens;
 import stileferry.leadership.LeaderElection;
 import stileferry.lifecycle.CompletedJobCache;
 import stileferry.links.LinkHealth;
@@ -112,10 +113,10 @@
     // ---- leadership
 
     @Override
-    public void elected(long term, long leaderRevision) {
-        leader = new Leader(controller, machineTypes.types(), term, leaderRevision);
-        admission.elected(term);
-        links.elected(term, leader::transactionsInFlight);
+    public void elected(FencingTokens tokens, long leaderRevision) {
+        leader = new Leader(controller, machineTypes.types(), tokens, leaderRevision);
+        admission.elected(tokens.term());
+        links.elected(tokens.term(), tokens.first(), leader::transactionsInFlight);
     }
 
     @Override
--- a/src/main/java/stileferry/coordination/Leader.java
+++ b/src/main/java/stileferry/coordination/Leader.java
@@ -10,6 +10,7 @@
 import stileferry.cluster.Machine;
 import stileferry.heartbeat.HeartbeatHandler;
 import stileferry.heartbeat.LastHeartbeatJournal;
+import stileferry.leadership.FencingTokens;
 import stileferry.leadership.LeaderElection;
 import stileferry.leadership.TermSequence;
 import stileferry.lifecycle.TaskLifecycle;
@@ -84,18 +85,18 @@
      *
      * @param leaderRevision the revision of the leader key, which fences all writes of the term
      */
-    Leader(ControllerContext controller, List<MachineType> machineTypes, long term, long leaderRevision) {
+    Leader(ControllerContext controller, List<MachineType> machineTypes, FencingTokens tokens, long leaderRevision) {
         this.settings = controller.settings();
         this.environment = controller.environment();
         this.election = controller.election();
         this.links = controller.links();
-        this.term = term;
-        this.sequence = new TermSequence(term);
+        this.term = tokens.term();
+        this.sequence = new TermSequence(tokens.first());
         this.answerRight = new AnswerRight(controller, term, this::active);
         TermComponents components = TermComponents.create(
                 controller,
                 machineTypes,
-                new TermComponents.Term(term, leaderRevision, sequence),
+                new TermComponents.Term(tokens, leaderRevision, sequence),
                 new JobRequestCallbacks(),
                 this::requestPass);
         this.cluster = components.cluster();
--- a/src/main/java/stileferry/coordination/LeaderView.java
+++ b/src/main/java/stileferry/coordination/LeaderView.java
@@ -31,6 +31,7 @@
                 .put("changes_waiting", commitQueue.backlog())
                 .put("oldest_reply_ms", jobRequests.oldestPendingReplyMs())
                 .put("transactions_in_flight", commitQueue.inFlight())
+                .put("token_raises", taskLifecycle.heartbeatHandler().tokenRaises())
                 .set("gangs", taskLifecycle.gangMetrics().describe());
     }
 }
--- a/src/main/java/stileferry/coordination/TermComponents.java
+++ b/src/main/java/stileferry/coordination/TermComponents.java
@@ -5,6 +5,7 @@
 import stileferry.cluster.ClusterState;
 import stileferry.heartbeat.HeartbeatHandler;
 import stileferry.heartbeat.LastHeartbeatJournal;
+import stileferry.leadership.FencingTokens;
 import stileferry.leadership.LeaderElection;
 import stileferry.leadership.TermSequence;
 import stileferry.lifecycle.JobCompletion;
@@ -26,8 +27,8 @@
         Placement placement,
         Autoscaler autoscaler) {
 
-    /** The number of a term, the revision of its leader key, and the sequence that issues numbers within it. */
-    record Term(long number, long leaderRevision, TermSequence sequence) {}
+    /** The fencing tokens of a term, the revision of its leader key, and the sequence that issues numbers within it. */
+    record Term(FencingTokens tokens, long leaderRevision, TermSequence sequence) {}
 
     /**
      * Creates the components of a term.
@@ -48,12 +49,12 @@
                 controller.store(),
                 LeaderElection.LEADER_KEY,
                 term.leaderRevision(),
-                term.number(),
+                term.tokens().first(),
                 election::resign);
         ClusterState cluster = new ClusterState(controller.settings(), links, controller.invariants());
         cluster.setMachineTypes(machineTypes);
         LastHeartbeatJournal journal =
-                new LastHeartbeatJournal(cluster, environment, commitQueue, election, term.number());
+                new LastHeartbeatJournal(cluster, environment, commitQueue, election, term.tokens());
         JobRequestHandler jobRequests = jobRequests(controller, cluster, commitQueue, callbacks);
         TaskLifecycle taskLifecycle = new TaskLifecycle(
                 cluster,
@@ -61,7 +62,7 @@
                 commitQueue,
                 term.sequence(),
                 events -> new HeartbeatHandler(
-                        cluster, environment, election, term.number(), events, journal, controller.eventLoopLag()),
+                        cluster, environment, election, term.tokens(), events, journal, controller.eventLoopLag()),
                 lifecycle -> new JobCompletion(
                         cluster,
                         commitQueue,
@@ -71,8 +72,12 @@
                         lifecycle::stopCancelled),
                 requestPass);
         Placement placement = new Placement(cluster);
-        Autoscaler autoscaler =
-                new Autoscaler(cluster, environment, taskLifecycle.heartbeatHandler(), term.number(), links);
+        Autoscaler autoscaler = new Autoscaler(
+                cluster,
+                environment,
+                taskLifecycle.heartbeatHandler(),
+                term.tokens().first(),
+                links);
         return new TermComponents(cluster, commitQueue, journal, jobRequests, taskLifecycle, placement, autoscaler);
     }
 
--- a/src/main/java/stileferry/heartbeat/CommandDispatcher.java
+++ b/src/main/java/stileferry/heartbeat/CommandDispatcher.java
@@ -4,10 +4,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import stileferry.cluster.AgentState;
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
+import stileferry.leadership.FencingTokens;
 import stileferry.leadership.LeaderElection;
 import stileferry.protocol.Environment;
 import stileferry.protocol.Heartbeat;
@@ -36,7 +36,7 @@
     private final ClusterState cluster;
     private final Environment environment;
     private final LeaderElection leadership;
-    private final long term;
+    private final FencingTokens tokens;
     private final EventLoopLag eventLoopLag;
     private final CommandPlanner planner;
     private final StatusListener statusListener;
@@ -58,24 +58,35 @@
     /**
      * A direct request to a worker.
      *
+     * @param raises how often the machine's token was raised before the request
      * @param remainingSends how often the request may still be sent, this send included, if the worker reports another
      *     incarnation
      */
     private record DirectRequest(
-            Machine machine, long incarnation, List<WorkerCommand> commands, int remainingSends, long timeoutMs) {}
+            Machine machine,
+            long incarnation,
+            long raises,
+            List<WorkerCommand> commands,
+            int remainingSends,
+            long timeoutMs) {
+        DirectRequest(
+                Machine machine, long incarnation, List<WorkerCommand> commands, int remainingSends, long timeoutMs) {
+            this(machine, incarnation, machine.agent().startFence().raises(), commands, remainingSends, timeoutMs);
+        }
+    }
 
     CommandDispatcher(
             ClusterState cluster,
             Environment environment,
             LeaderElection leadership,
-            long term,
+            FencingTokens tokens,
             EventLoopLag eventLoopLag,
             CommandPlanner planner,
             StatusListener statusListener) {
         this.cluster = cluster;
         this.environment = environment;
         this.leadership = leadership;
-        this.term = term;
+        this.tokens = tokens;
         this.eventLoopLag = eventLoopLag;
         this.planner = planner;
         this.statusListener = statusListener;
@@ -222,11 +233,17 @@
 
     private void send(DirectRequest request) {
         inFlight.add(request.machine);
+        CommandLog.sent(
+                request.machine,
+                CommandPlanner.Delivery.DIRECT,
+                tokens.raised(request.raises),
+                request.incarnation,
+                request.commands);
         environment.request(
                 request.machine.address(),
                 "POST",
                 "/commands",
-                WorkerMessages.directCommands(term, request.incarnation, request.commands),
+                WorkerMessages.directCommands(tokens.raised(request.raises), request.incarnation, request.commands),
                 request.timeoutMs,
                 (status, body) -> {
                     inFlight.remove(request.machine);
@@ -238,39 +255,34 @@
 
     private void receiveAnswer(DirectRequest request, int status, JsonNode body) {
         boolean answered = status == OK || status == CONFLICT;
-        if (answered || status == Environment.NOT_SENT) {
-            markStartsAnswered(request);
+        if (!request.commands.isEmpty()) {
+            CommandLog.answered(request.machine, tokens.raised(request.raises), request.incarnation, status);
         }
         Heartbeat heartbeat = answered ? Heartbeat.read(body) : null;
         if (heartbeat == null || !heartbeat.machine().equals(request.machine.name())) {
             return; // no answer, or the address now belongs to another machine
         }
-        if (heartbeat.fencingToken() > term) {
+        if (heartbeat.fencingToken() > tokens.last()) {
             leadership.observeTerm(heartbeat.fencingToken(), "");
             return;
         }
         request.machine.agent().markReachable();
         statusListener.statusReceived(request.machine, heartbeat);
-        if (status == CONFLICT && request.remainingSends > 1 && heartbeat.incarnation() != request.incarnation) {
-            send(new DirectRequest(
-                    request.machine,
-                    heartbeat.incarnation(),
-                    List.of(),
-                    request.remainingSends - 1,
-                    request.timeoutMs));
+        if (status == CONFLICT) {
+            sendAgain(request, heartbeat);
         }
     }
 
-    /**
-     * Marks the starts of a request as completed: they were carried out, rejected or never sent, so none can arrive
-     * later.
-     */
-    private static void markStartsAnswered(DirectRequest request) {
-        AgentState agent = request.machine.agent();
-        for (WorkerCommand command : request.commands) {
-            if (command.kind() == WorkerCommand.Kind.RUN) {
-                agent.recordDirectStartAnswered(command.attemptId());
+    /** Sends what an agent has rejected, for its present incarnation or with its present token. */
+    private void sendAgain(DirectRequest rejected, Heartbeat status) {
+        Machine machine = rejected.machine;
+        if (status.incarnation() != rejected.incarnation) {
+            if (rejected.remainingSends > 1) {
+                send(new DirectRequest(
+                        machine, status.incarnation(), List.of(), rejected.remainingSends - 1, rejected.timeoutMs));
             }
+        } else if (rejected.raises < machine.agent().startFence().raises()) {
+            queueCommands(machine);
         }
     }
 }
--- a/src/main/java/stileferry/heartbeat/CommandPlanner.java
+++ b/src/main/java/stileferry/heartbeat/CommandPlanner.java
@@ -2,13 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import stileferry.cluster.AgentState;
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.InvariantMonitor;
 import stileferry.cluster.Machine;
+import stileferry.cluster.StartFence;
 import stileferry.cluster.TaskAssignment;
-import stileferry.leadership.LeaderElection;
-import stileferry.protocol.Environment;
+import stileferry.leadership.FencingTokens;
 import stileferry.protocol.Heartbeat;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.WorkerCommand;
@@ -16,10 +18,9 @@
 /** Decides which commands a worker needs: what it should do and has not yet been seen to have done. */
 final class CommandPlanner {
     private final ClusterState cluster;
-    private final Environment environment;
-    private final LeaderElection leadership;
-    private final long term;
-    private final long cancelDeadlineMs;
+    private final BooleanSupplier leaseHeld;
+    private final FencingTokens tokens;
+    private long tokenRaises;
 
     /** How commands reach a worker. */
     enum Delivery {
@@ -27,37 +28,44 @@
         HEARTBEAT_RESPONSE,
 
         /** In a separate request, which may overtake the response to a heartbeat. */
-        DIRECT
+        DIRECT;
+
+        /** Returns the name for log lines. */
+        String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 
-    CommandPlanner(ClusterState cluster, Environment environment, LeaderElection leadership, long term) {
+    /** Creates the planner of one term; {@code leaseHeld} returns whether this controller holds the leader's lease. */
+    CommandPlanner(ClusterState cluster, BooleanSupplier leaseHeld, FencingTokens tokens) {
         this.cluster = cluster;
-        this.environment = environment;
-        this.leadership = leadership;
-        this.term = term;
-        this.cancelDeadlineMs = Math.round(cluster.settings().workers().cancelDeadlineS() * 1000);
+        this.leaseHeld = leaseHeld;
+        this.tokens = tokens;
     }
 
     /**
      * Returns all commands that the worker needs. A controller that does not hold the leader's lease only stops tasks
-     * of cancelled jobs. Starts are recorded as sent, so the caller has to send the result.
+     * of cancelled jobs. Starts and clears are recorded as sent, and the machine's token may be raised, so the caller
+     * has to send the result with the present token.
      */
     List<WorkerCommand> commandsFor(Machine machine, Delivery delivery) {
         List<WorkerCommand> commands = new ArrayList<>();
-        if (!leadership.leaseHeld()) {
+        if (!leaseHeld.getAsBoolean()) {
             addKillsOfCancelledTasks(machine, commands);
             return commands;
         }
+        if (delivery == Delivery.HEARTBEAT_RESPONSE) {
+            raiseTokenIfNeeded(machine);
+        }
         for (Heartbeat.TaskStatus status : machine.reportedTasks()) {
-            if (!assigned(machine, status)) {
+            if (!machine.isAssigned(status)) {
                 addCommandForUnassignedTask(machine, status, delivery, commands);
             }
         }
-        long now = environment.now();
         for (TaskAssignment assignment : machine.assignments().values()) {
             if (assignment.startable()
                     && assignment.incarnation() == machine.agent().incarnation()) {
-                addCommandsForAssignment(machine, assignment, delivery, now, commands);
+                addCommandsForAssignment(machine, assignment, delivery, commands);
             }
         }
         return commands;
@@ -83,9 +91,19 @@
         return false;
     }
 
-    private static boolean assigned(Machine machine, Heartbeat.TaskStatus status) {
-        TaskAssignment assignment = machine.assignments().get(status.taskId());
-        return assignment != null && assignment.attempt() == status.attempt();
+    private void raiseTokenIfNeeded(Machine machine) {
+        StartFence fence = machine.agent().startFence();
+        if (machine.hasAcknowledgedTerm(tokens.first())
+                && tokens.canRaise(fence.raises())
+                && HeldAttempts.needRaise(machine)) {
+            fence.raise();
+            tokenRaises++;
+        }
+    }
+
+    /** Returns how often the token of any machine was raised in this term. */
+    long tokenRaises() {
+        return tokenRaises;
     }
 
     private void addCommandForUnassignedTask(
@@ -94,23 +112,25 @@
             commands.add(new WorkerCommand(WorkerCommand.Kind.KILL, status.taskId(), status.attempt(), 0));
         } else if (delivery == Delivery.HEARTBEAT_RESPONSE && clearable(machine, status)) {
             commands.add(new WorkerCommand(WorkerCommand.Kind.CLEAR, status.taskId(), status.attempt(), 0));
+            machine.agent().recordClear(status.attemptId());
         }
     }
 
     /**
      * Returns whether an exited task may be cleared in the response to a heartbeat. A direct clear could overtake a
-     * response that repeats the start, and a start that is repeated after the clear runs the task once more.
+     * response that repeats the start, and a start that arrives after the clear runs the task once more: so a direct
+     * start must be fenced by the token that the response shows.
      */
     private boolean clearable(Machine machine, Heartbeat.TaskStatus status) {
         AgentState agent = machine.agent();
-        return machine.hasAcknowledgedTerm(term)
+        return machine.hasAcknowledgedTerm(tokens.first())
                 && !agent.hasNonDurableOutcome(status.attemptId())
-                && !agent.hasUnansweredDirectStart(status.attemptId());
+                && agent.startFence().fenced(status.attemptId());
     }
 
     private void addCommandsForAssignment(
-            Machine machine, TaskAssignment assignment, Delivery delivery, long now, List<WorkerCommand> commands) {
-        if (needsStart(machine, assignment, delivery, now)) {
+            Machine machine, TaskAssignment assignment, Delivery delivery, List<WorkerCommand> commands) {
+        if (needsStart(machine, assignment, delivery)) {
             if (assignment.job().cancellationConfirmed() && !assignment.startSent()) {
                 cluster.invariants()
                         .violated(
@@ -120,7 +140,7 @@
             commands.add(new WorkerCommand(WorkerCommand.Kind.RUN, assignment.taskId(), assignment.attempt(), 0));
             assignment.markStartSent();
             if (delivery == Delivery.DIRECT) {
-                machine.agent().recordDirectStartSent(assignment.attemptId());
+                machine.agent().startFence().recordDirectStart(assignment.attemptId());
             }
         }
         if (needsKill(assignment)) {
@@ -129,20 +149,12 @@
         }
     }
 
-    private boolean needsStart(Machine machine, TaskAssignment assignment, Delivery delivery, long now) {
-        if (assignment.phase() != null) {
-            return false;
-        }
-        if (!assignment.stopping()) {
-            return true;
-        }
-        // The start is repeated: an unanswered direct start of a stopped task does no harm once the worker knows
-        // the attempt.
-        boolean cancelledLongAgo =
-                assignment.job().cancelled() && now - assignment.stopRequestedAt() > cancelDeadlineMs / 2;
-        return delivery == Delivery.HEARTBEAT_RESPONSE
-                && machine.agent().hasUnansweredDirectStart(assignment.attemptId())
-                && !cancelledLongAgo;
+    /** A direct start needs a higher token to be fenced later; the last token only goes with heartbeats. */
+    private boolean needsStart(Machine machine, TaskAssignment assignment, Delivery delivery) {
+        return assignment.phase() == null
+                && !assignment.stopping()
+                && (delivery == Delivery.HEARTBEAT_RESPONSE
+                        || tokens.canRaise(machine.agent().startFence().raises()));
     }
 
     private static boolean needsKill(TaskAssignment assignment) {
--- a/src/main/java/stileferry/heartbeat/HeartbeatHandler.java
+++ b/src/main/java/stileferry/heartbeat/HeartbeatHandler.java
@@ -8,6 +8,7 @@
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
+import stileferry.leadership.FencingTokens;
 import stileferry.leadership.LeaderElection;
 import stileferry.protocol.Environment;
 import stileferry.protocol.Heartbeat;
@@ -23,7 +24,7 @@
     private final ClusterState cluster;
     private final Environment environment;
     private final LeaderElection leadership;
-    private final long term;
+    private final FencingTokens tokens;
     private final TaskObserver taskObserver;
     private final LastHeartbeatJournal journal;
     private final byte[] emptyResponse;
@@ -39,25 +40,25 @@
             ClusterState cluster,
             Environment environment,
             LeaderElection leadership,
-            long term,
+            FencingTokens tokens,
             TaskObserver taskObserver,
             LastHeartbeatJournal journal,
             EventLoopLag eventLoopLag) {
         this.cluster = cluster;
         this.environment = environment;
         this.leadership = leadership;
-        this.term = term;
+        this.tokens = tokens;
         this.taskObserver = taskObserver;
         this.journal = journal;
-        this.emptyResponse = MessageCodec.encode(WorkerMessages.heartbeatResponse(term, List.of()));
+        this.emptyResponse = MessageCodec.encode(WorkerMessages.heartbeatResponse(tokens.first(), List.of()));
         this.leaseRenewalPolicy = new LeaseRenewalPolicy(cluster, leadership);
         this.failureDetector = new FailureDetector(cluster, environment, leadership, taskObserver, journal);
-        this.commandPlanner = new CommandPlanner(cluster, environment, leadership, term);
+        this.commandPlanner = new CommandPlanner(cluster, () -> leadership.leaseHeld(), tokens);
         this.commandDispatcher = new CommandDispatcher(
-                cluster, environment, leadership, term, eventLoopLag, commandPlanner, this::directRequestAnswered);
-        this.unreachableAgentDetector = new UnreachableAgentDetector(cluster, environment, term);
-        this.reconciliation =
-                new HeartbeatReconciliation(cluster, environment, term, taskObserver, commandDispatcher, eventLoopLag);
+                cluster, environment, leadership, tokens, eventLoopLag, commandPlanner, this::directRequestAnswered);
+        this.unreachableAgentDetector = new UnreachableAgentDetector(cluster, environment, tokens.first());
+        this.reconciliation = new HeartbeatReconciliation(
+                cluster, environment, tokens.first(), taskObserver, commandDispatcher, eventLoopLag);
     }
 
     /** Stops sending commands. */
@@ -65,6 +66,11 @@
         commandDispatcher.close();
     }
 
+    /** Returns how often the fencing token of a machine was raised in this term. */
+    public long tokenRaises() {
+        return commandPlanner.tokenRaises();
+    }
+
     /** Returns the detector that judges machines with missed heartbeats. */
     public FailureDetector failureDetector() {
         return failureDetector;
@@ -101,7 +107,7 @@
         agent.recordHeartbeatSequence(heartbeat);
         if (machine.isUnchangedBy(heartbeat) && heartbeat.sequence() > agent.sequence()) {
             agent.recordUnchangedHeartbeat(heartbeat, environment.now());
-            return emptyResponse;
+            return response(machine, List.of());
         }
         unreachableAgentDetector.check(machine, heartbeat);
         boolean fresh = reconciliation.reconcile(machine, heartbeat, HeartbeatReconciliation.Origin.HEARTBEAT);
@@ -109,13 +115,20 @@
         List<WorkerCommand> commands =
                 fresh ? commandPlanner.commandsFor(machine, CommandPlanner.Delivery.HEARTBEAT_RESPONSE) : List.of();
         agent.setStartsInLastResponse(startedAttempts(commands));
-        return response(commands);
+        CommandLog.sent(
+                machine,
+                CommandPlanner.Delivery.HEARTBEAT_RESPONSE,
+                tokens.raised(agent.startFence().raises()),
+                agent.incarnation(),
+                commands);
+        return response(machine, commands);
     }
 
-    private byte[] response(List<WorkerCommand> commands) {
-        return commands.isEmpty()
+    private byte[] response(Machine machine, List<WorkerCommand> commands) {
+        long raises = machine.agent().startFence().raises();
+        return commands.isEmpty() && raises == 0
                 ? emptyResponse
-                : MessageCodec.encode(WorkerMessages.heartbeatResponse(term, commands));
+                : MessageCodec.encode(WorkerMessages.heartbeatResponse(tokens.raised(raises), commands));
     }
 
     private static Set<String> startedAttempts(List<WorkerCommand> commands) {
@@ -139,7 +152,7 @@
         Machine machine = cluster.getOrAddMachine(heartbeat.machine());
         machine.setAddress(heartbeat.address());
         machine.agent().lease().markAnswered(environment.now());
-        return response(leadership.cancellations().killCommandsFor(heartbeat));
+        return response(machine, leadership.cancellations().killCommandsFor(heartbeat));
     }
 
     private void directRequestAnswered(Machine machine, Heartbeat status) {
--- a/src/main/java/stileferry/heartbeat/HeartbeatReconciliation.java
+++ b/src/main/java/stileferry/heartbeat/HeartbeatReconciliation.java
@@ -4,6 +4,7 @@
 import org.slf4j.LoggerFactory;
 import stileferry.cluster.AgentState;
 import stileferry.cluster.ClusterState;
+import stileferry.cluster.InvariantMonitor;
 import stileferry.cluster.Machine;
 import stileferry.protocol.Environment;
 import stileferry.protocol.Heartbeat;
@@ -14,7 +15,7 @@
 
     private final ClusterState cluster;
     private final Environment environment;
-    private final long term;
+    private final long firstToken;
     private final TaskObserver taskObserver;
     private final CommandDispatcher commandDispatcher;
     private final EventLoopLag eventLoopLag;
@@ -33,17 +34,17 @@
     HeartbeatReconciliation(
             ClusterState cluster,
             Environment environment,
-            long term,
+            long firstToken,
             TaskObserver taskObserver,
             CommandDispatcher commandDispatcher,
             EventLoopLag eventLoopLag) {
         this.cluster = cluster;
         this.environment = environment;
-        this.term = term;
+        this.firstToken = firstToken;
         this.taskObserver = taskObserver;
         this.commandDispatcher = commandDispatcher;
         this.eventLoopLag = eventLoopLag;
-        this.taskReconciliation = new TaskReconciliation(term, taskObserver, commandDispatcher);
+        this.taskReconciliation = new TaskReconciliation(firstToken, taskObserver, commandDispatcher);
         this.reclaimNoticeHandler = new ReclaimNoticeHandler(cluster, taskObserver, commandDispatcher);
     }
 
@@ -59,7 +60,8 @@
         long now = environment.now();
         updateIncarnation(machine, heartbeat, now);
         updateTerm(machine, heartbeat, now);
-        machine.agent().recordStatus(heartbeat, now);
+        machine.agent().recordStatus(heartbeat, firstToken, now);
+        checkForgottenAttempts(machine, heartbeat);
         updateInstance(machine, heartbeat);
         handleReclaimNotice(machine, heartbeat, now);
         taskReconciliation.reconcile(machine, heartbeat, origin, now);
@@ -93,19 +95,31 @@
 
     private void updateTerm(Machine machine, Heartbeat heartbeat, long now) {
         AgentState agent = machine.agent();
-        if (!agent.heardThisTerm() && heartbeat.fencingToken() < term) {
+        if (!agent.heardThisTerm() && heartbeat.fencingToken() < firstToken) {
             // Until it shows this term, the heartbeat may be a late copy from a machine that is gone.
             agent.markUnreachable(now);
             if (!eventLoopLag.overloaded()) {
                 commandDispatcher.queueProbe(machine); // does not wait for the next heartbeat, as work may be waiting
             }
-        } else if (agent.fencingToken() < term && heartbeat.fencingToken() >= term) {
+        } else if (agent.fencingToken() < firstToken && heartbeat.fencingToken() >= firstToken) {
             agent.lease().recordTermAcknowledged(now);
             agent.markReachable();
             taskObserver.schedulingInputChanged();
         }
     }
 
+    private void checkForgottenAttempts(Machine machine, Heartbeat heartbeat) {
+        Heartbeat.TaskStatus startedAgain = machine.agent().findForgottenAttempt(heartbeat);
+        if (startedAgain != null) {
+            cluster.invariants()
+                    .violated(
+                            InvariantMonitor.Invariant.FORGOTTEN_ATTEMPT_STAYS_FORGOTTEN,
+                            "attempt=" + startedAgain.attemptId() + " phase=" + startedAgain.phase() + " machine="
+                                    + machine.name() + " token=" + heartbeat.fencingToken() + " incarnation="
+                                    + heartbeat.incarnation());
+        }
+    }
+
     private void updateInstance(Machine machine, Heartbeat heartbeat) {
         machine.instance().setBooting(false);
         machine.setAddress(heartbeat.address());
--- a/src/main/java/stileferry/heartbeat/LastHeartbeatJournal.java
+++ b/src/main/java/stileferry/heartbeat/LastHeartbeatJournal.java
@@ -10,6 +10,7 @@
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.LastHeartbeatRecord;
 import stileferry.cluster.Machine;
+import stileferry.leadership.FencingTokens;
 import stileferry.leadership.LeaderElection;
 import stileferry.protocol.Environment;
 import stileferry.storage.CommitQueue;
@@ -50,7 +51,7 @@
     private final Environment environment;
     private final CommitQueue commitQueue;
     private final LeaderElection leadership;
-    private final long term;
+    private final FencingTokens tokens;
     private final long heartbeatIntervalMs;
     private final double clockErrorMs;
 
@@ -109,12 +110,12 @@
             Environment environment,
             CommitQueue commitQueue,
             LeaderElection leadership,
-            long term) {
+            FencingTokens tokens) {
         this.cluster = cluster;
         this.environment = environment;
         this.commitQueue = commitQueue;
         this.leadership = leadership;
-        this.term = term;
+        this.tokens = tokens;
         this.heartbeatIntervalMs = Math.round(cluster.settings().workers().heartbeatIntervalS() * 1000);
         this.clockErrorMs = cluster.settings().clockErrorMs();
     }
@@ -130,7 +131,7 @@
         int restored = 0;
         for (LastHeartbeatRecord record : records) {
             Machine machine = cluster.machines().get(record.machine());
-            if (machine == null || record.term() != term - 1) {
+            if (machine == null || record.term() != tokens.previousTerm()) {
                 continue;
             }
             long elapsedMs = environment.timeOfDay() - record.answeredAt() - (long) Math.ceil(2 * clockErrorMs);
@@ -153,8 +154,8 @@
                 && !machine.assignments().isEmpty()
                 && elapsedMs > RECORD_AFTER_HEARTBEATS * heartbeatIntervalMs
                 && leadership.leaseHeld()) {
-            LastHeartbeatRecord record =
-                    new LastHeartbeatRecord(machine.name(), incarnation, environment.timeOfDay() - elapsedMs, term);
+            LastHeartbeatRecord record = new LastHeartbeatRecord(
+                    machine.name(), incarnation, environment.timeOfDay() - elapsedMs, tokens.term());
             machine.agent().lease().setLastHeartbeatRecord(record);
             commitQueue.appendEvent(new LastHeartbeatEvent(record), null);
         }
--- a/src/main/java/stileferry/heartbeat/TaskReconciliation.java
+++ b/src/main/java/stileferry/heartbeat/TaskReconciliation.java
@@ -15,12 +15,12 @@
 final class TaskReconciliation {
     private static final Logger LOG = LoggerFactory.getLogger("heartbeat");
 
-    private final long term;
+    private final long firstToken;
     private final TaskObserver taskObserver;
     private final CommandDispatcher commandDispatcher;
 
-    TaskReconciliation(long term, TaskObserver taskObserver, CommandDispatcher commandDispatcher) {
-        this.term = term;
+    TaskReconciliation(long firstToken, TaskObserver taskObserver, CommandDispatcher commandDispatcher) {
+        this.firstToken = firstToken;
         this.taskObserver = taskObserver;
         this.commandDispatcher = commandDispatcher;
     }
@@ -29,8 +29,9 @@
         AgentState agent = machine.agent();
         agent.setLastHeartbeat(heartbeat);
         Map<String, Heartbeat.TaskStatus> assignedTasks = assignedTasks(machine, heartbeat);
-        agent.setReconciled(heartbeat.tasks().size() == machine.assignments().size()
-                && assignedTasks.size() == machine.assignments().size());
+        agent.setReconciled(
+                heartbeat.tasks().size() == assignedTasks.size() + HeldAttempts.countRestingAttempts(machine, heartbeat)
+                        && assignedTasks.size() == machine.assignments().size());
         for (TaskAssignment assignment : List.copyOf(machine.assignments().values())) {
             Heartbeat.TaskStatus status = assignedTasks.get(assignment.taskId());
             if (assignment.incarnation() < heartbeat.incarnation()) {
@@ -70,15 +71,15 @@
 
     /**
      * Returns whether a stopped task that a heartbeat does not list can no longer start. A worker has one heartbeat in
-     * flight: every response that carried a start was carried out or dropped before this heartbeat, no direct start is
-     * unanswered, and former leaders are no longer obeyed.
+     * flight: every response that carried a start was carried out or dropped before this heartbeat, the worker has
+     * shown a higher token than any direct start of the task, and former leaders are no longer obeyed.
      */
     private boolean neverStarted(Machine machine, TaskAssignment assignment) {
         return assignment.stopping()
                 && assignment.durable()
                 && assignment.phase() == null
-                && machine.hasAcknowledgedTerm(term)
-                && !machine.agent().hasUnansweredDirectStart(assignment.attemptId());
+                && machine.hasAcknowledgedTerm(firstToken)
+                && !machine.agent().startFence().mayStart(assignment.attemptId());
     }
 
     private void updatePhase(Machine machine, TaskAssignment assignment, Heartbeat.TaskStatus status, long now) {
--- a/src/main/java/stileferry/heartbeat/UnreachableAgentDetector.java
+++ b/src/main/java/stileferry/heartbeat/UnreachableAgentDetector.java
@@ -21,19 +21,19 @@
     private static final Logger LOG = LoggerFactory.getLogger("heartbeat");
 
     private final Environment environment;
-    private final long term;
+    private final long firstToken;
     private final long leaseMs;
 
-    UnreachableAgentDetector(ClusterState cluster, Environment environment, long term) {
+    UnreachableAgentDetector(ClusterState cluster, Environment environment, long firstToken) {
         this.environment = environment;
-        this.term = term;
+        this.firstToken = firstToken;
         this.leaseMs = Math.round(cluster.settings().workers().leaseS() * 1000);
     }
 
     /** Judges the agent by a new heartbeat, before the heartbeat is reconciled. */
     void check(Machine machine, Heartbeat heartbeat) {
         AgentState agent = machine.agent();
-        if (!machine.hasAcknowledgedTerm(term) || agent.unreachableSince() != 0) {
+        if (!machine.hasAcknowledgedTerm(firstToken) || agent.unreachableSince() != 0) {
             return;
         }
         boolean leaseExpired = leaseExpiredAlthoughAnswered(agent, heartbeat);
--- a/src/main/java/stileferry/leadership/LeaderCampaign.java
+++ b/src/main/java/stileferry/leadership/LeaderCampaign.java
@@ -56,11 +56,18 @@
     /**
      * A campaign that this controller has won.
      *
+     * @param tokens the fencing tokens of the term
      * @param revision the revision of the leader key
      * @param requestedAt when the lease was requested, in {@link Environment#now} time
      * @param leaseDurationMs the duration with which it was requested
      */
-    record Win(TermRecord term, long revision, String leaseId, long requestedAt, long leaseDurationMs) {}
+    record Win(
+            TermRecord term,
+            FencingTokens tokens,
+            long revision,
+            String leaseId,
+            long requestedAt,
+            long leaseDurationMs) {}
 
     /**
      * Creates a campaign that has not started.
@@ -196,9 +203,9 @@
 
     private void writeLeaderKey(int stepGeneration, TermRecord storedTerm, RequestedLease lease) {
         String leaseId = lease.grant.id();
-        long term = Math.max(listener.term(), storedTerm.term()) + 1;
-        TermRecord next = storedTerm.next(term, countsAdmissions);
-        LeaderRecord leader = new LeaderRecord(node, term, leaseId);
+        FencingTokens tokens = FencingTokens.after(Math.max(listener.term(), storedTerm.term()));
+        TermRecord next = storedTerm.next(tokens, countsAdmissions);
+        LeaderRecord leader = new LeaderRecord(node, tokens.term(), leaseId);
         CommitRequest request = new CommitRequest()
                 .compare(LeaderElection.LEADER_KEY, 0)
                 .compare(LeaderElection.TERM_KEY, storedTerm.revision())
@@ -211,6 +218,7 @@
             if (result.outcome() == CommitResult.Outcome.APPLIED) {
                 listener.won(new Win(
                         next.atRevision(result.revision()),
+                        tokens,
                         result.revision(),
                         leaseId,
                         lease.requestedAt,
--- a/src/main/java/stileferry/leadership/LeaderElection.java
+++ b/src/main/java/stileferry/leadership/LeaderElection.java
@@ -52,7 +52,7 @@
     /** Receives changes of leadership; implemented by the coordinator. */
     public interface Listener {
         /** Called when this controller becomes the leader; {@code leaderRevision} is the revision of the leader key. */
-        void elected(long term, long leaderRevision);
+        void elected(FencingTokens tokens, long leaderRevision);
 
         /** Called when this controller stops leading. */
         void deposed();
@@ -299,11 +299,15 @@
         announcements.beginTerm();
         cancellations.beginTerm();
         LOG.info("leader elected: term={}", term);
+        LOG.info(
+                "fencing tokens: first={} last={}",
+                win.tokens().first(),
+                win.tokens().last());
         campaign.stop();
         lease.begin(win.leaseId(), term, win.requestedAt(), win.leaseDurationMs());
         leaseDurationRecord.beginTerm(win.term(), win.revision());
         announcements.announceToAll();
-        listener.elected(term, win.revision());
+        listener.elected(win.tokens(), win.revision());
     }
 
     private void stepDown() {
--- a/src/main/java/stileferry/leadership/TermRecord.java
+++ b/src/main/java/stileferry/leadership/TermRecord.java
@@ -9,8 +9,8 @@
  * without {@code counting_since}, which ends an unbroken run of leaders that count admissions. A leader for which the
  * usual lease is long enough writes it without {@code lease_ms}.
  *
- * @param term the term, or 0 if there has been none
- * @param admissionsCountedSince the first term of the unbroken run, up to this term, of leaders that count admissions;
+ * @param term the term, which is the highest token of its leader, or 0 if there has been none
+ * @param admissionsCountedSince the first token of the unbroken run, up to this term, of leaders that count admissions;
  *     0 if the leader of this term does not count them
  * @param leaseMs the duration of the lease that leaders of this fleet need, in milliseconds, or 0 for the usual one
  * @param revision the revision of the key, or 0 if the key does not exist
@@ -33,9 +33,9 @@
     }
 
     /** Returns the record to store for the next term; {@code counts}: its leader counts admissions. */
-    TermRecord next(long nextTerm, boolean counts) {
-        long since = admissionsCountedSince > 0 ? admissionsCountedSince : nextTerm;
-        return new TermRecord(nextTerm, counts ? since : 0, leaseMs, 0);
+    TermRecord next(FencingTokens tokens, boolean counts) {
+        long since = admissionsCountedSince > 0 ? admissionsCountedSince : tokens.first();
+        return new TermRecord(tokens.term(), counts ? since : 0, leaseMs, 0);
     }
 
     /** Returns the record of the same term with another duration of the lease that leaders need. */
--- a/src/main/java/stileferry/leadership/TermSequence.java
+++ b/src/main/java/stileferry/leadership/TermSequence.java
@@ -7,9 +7,9 @@
     private final long base;
     private long issued;
 
-    /** Creates the sequence of a term, in which no number has been issued yet. */
-    public TermSequence(long term) {
-        this.base = term * NUMBERS_PER_TERM;
+    /** Creates the sequence of a term, given by its first fencing token, in which no number has been issued yet. */
+    public TermSequence(long firstToken) {
+        this.base = firstToken * NUMBERS_PER_TERM;
     }
 
     /** Returns a number higher than all issued so far. */
--- a/src/main/java/stileferry/links/LinkHealth.java
+++ b/src/main/java/stileferry/links/LinkHealth.java
@@ -81,9 +81,10 @@
     /**
      * Records that this controller leads from now on.
      *
+     * @param firstToken the first fencing token of the term
      * @param changesInFlight supplies the number of transactions without a known outcome
      */
-    default void elected(long term, IntSupplier changesInFlight) {}
+    default void elected(long term, long firstToken, IntSupplier changesInFlight) {}
 
     /** Records that this controller no longer leads. */
     default void deposed() {}
--- a/src/main/java/stileferry/links/LinkMonitor.java
+++ b/src/main/java/stileferry/links/LinkMonitor.java
@@ -43,7 +43,7 @@
     private final BiMap<String, String> workerByAddress = HashBiMap.create();
 
     private Host host;
-    private long term;
+    private long firstToken;
 
     /** The newest term of another leader whose announcement has caused an exchange of views with all controllers. */
     private long lastExchangedTerm;
@@ -109,8 +109,8 @@
     // ---- changes of leadership
 
     @Override
-    public void elected(long newTerm, IntSupplier changesInFlight) {
-        term = newTerm;
+    public void elected(long newTerm, long newFirstToken, IntSupplier changesInFlight) {
+        firstToken = newFirstToken;
         handover.elected(newTerm, changesInFlight);
         workerByAddress.clear();
         connectivity.elected(newTerm, environment.now());
@@ -148,9 +148,10 @@
         long now = environment.now();
         workerByAddress.forcePut(heartbeat.address(), heartbeat.machine());
         if (relayed) {
-            connectivity.relayedHeartbeatReceived(workerHeartbeat(heartbeat, heartbeat.fencingToken() >= term), now);
+            connectivity.relayedHeartbeatReceived(
+                    workerHeartbeat(heartbeat, heartbeat.fencingToken() >= firstToken), now);
         } else {
-            connectivity.heartbeatReceived(workerHeartbeat(heartbeat, heartbeat.fencingToken() >= term), now);
+            connectivity.heartbeatReceived(workerHeartbeat(heartbeat, heartbeat.fencingToken() >= firstToken), now);
             connectivity.heartbeatAnswered(heartbeat.machine(), now);
         }
     }
--- a/src/test/java/stileferry/cli/TaskHistory.java
+++ b/src/test/java/stileferry/cli/TaskHistory.java
@@ -70,8 +70,8 @@
     }
 
     /**
-     * Returns the violations found: a start of an attempt that was cleared, a task that runs on two machines, or running tasks of the limited jobs that use
-     * more CPUs than their team may.
+     * Returns the violations found: a start of an attempt that was cleared, a task that runs on two machines, or
+     * running tasks of the limited jobs that use more CPUs than their team may.
      *
      * @param cpusPerTask the jobs of the team that has a limit, with the CPUs of each of their tasks
      * @param maxCpus the team's limit
--- a/src/test/java/stileferry/cluster/TestMachine.java
+++ b/src/test/java/stileferry/cluster/TestMachine.java
@@ -23,6 +23,7 @@
                                 -1,
                                 List.of(),
                                 null),
+                        1,
                         now);
     }
 }
--- a/src/test/java/stileferry/golden/GoldenWorkerMessagesTest.java
+++ b/src/test/java/stileferry/golden/GoldenWorkerMessagesTest.java
@@ -18,6 +18,9 @@
 
 /** Pins the exact bytes of heartbeats, their responses, and commands that are sent to workers directly. */
 class GoldenWorkerMessagesTest {
+    /** Two heartbeat intervals without a heartbeat, after which a machine gets its commands in a response only. */
+    private static final long NO_DIRECT_COMMANDS_AFTER_MS = 4100;
+
     private static final String COMMANDS = "POST /commands";
     private static final String COMMIT = "POST /commit";
 
@@ -81,11 +84,22 @@
 
     @Test
     void exitedTasksAreClearedOnceTheirExitIsDurable() {
-        cluster.startLeaderWithRunningTasks();
+        cluster.startLeader().heartbeat("heartbeat");
+        cluster.environment.advance(NO_DIRECT_COMMANDS_AFTER_MS);
+        cluster.submit("submission");
+        assertWorkerResponse("run commands", cluster.heartbeat("next heartbeat"));
+        cluster.heartbeat("heartbeat, running");
         assertWorkerResponse("token without commands", cluster.heartbeat("heartbeat, both done"));
         assertWorkerResponse("clear commands", cluster.heartbeat("heartbeat, both still done"));
     }
 
+    @Test
+    void exitedTasksThatWereStartedDirectlyAreNotClearedWithTheSameToken() {
+        cluster.startLeaderWithRunningTasks();
+        assertWorkerResponse("token without commands", cluster.heartbeat("heartbeat, both done"));
+        assertWorkerResponse("token without commands", cluster.heartbeat("heartbeat, both still done"));
+    }
+
     @Test
     void cancellationIsConfirmedAtOnceIfTheTaskWaitsWithItsImage() {
         cluster.startLeaderWithAssignedTasks("submission").heartbeat("heartbeat, waiting");
