Rolling upgrades: older versions' terms have one token, and requests are repeated

Cause: the simulated older controllers took 4,096 tokens for a term as ours do, so no test had a term of one token before and after ours. Change: the coordinator takes the number of tokens of its terms; simulated older controllers have one, and so start nothing directly. A second run of the roll repeats three tenths of all requests, also those of leaders of the other version.

--- a/src/main/java/stileferry/coordination/Coordinator.java
+++ b/src/main/java/stileferry/coordination/Coordinator.java
@@ -63,7 +63,12 @@
     }
 
     /** Creates the coordinator of one controller, without starting it. */
-    public Coordinator(Settings settings, Features features, Environment unobservedEnvironment) {
+    public Coordinator(Settings settings, Features features, Environment environment) {
+        this(settings, features, environment, FencingTokens.TOKENS_PER_TERM);
+    }
+
+    /** Creates a coordinator whose terms own this many fencing tokens; those of older versions own one. */
+    Coordinator(Settings settings, Features features, Environment unobservedEnvironment, int tokensPerTerm) {
         this.links = features.partialCuts()
                 ? new LinkMonitor(settings, unobservedEnvironment, LeaderElection.leaseDurationMs(settings))
                 : LinkHealth.NONE;
@@ -71,7 +76,8 @@
         KeyValueStoreClient store = new KeyValueStoreClient(environment, settings);
         this.admission =
                 features.fairAdmission() ? new FairAdmission(settings, environment, store) : AdmissionControl.NONE;
-        this.election = new LeaderElection(environment, store, settings, this, links, admission.countsAdmissions());
+        this.election = new LeaderElection(
+                environment, store, settings, this, links, admission.countsAdmissions(), tokensPerTerm);
         this.controller = new ControllerContext(
                 settings,
                 environment,
--- a/src/main/java/stileferry/leadership/FencingTokens.java
+++ b/src/main/java/stileferry/leadership/FencingTokens.java
@@ -12,9 +12,9 @@
     /** The number of tokens of a term. Attempts have 31 bits for it, which leaves room for half a million terms. */
     public static final int TOKENS_PER_TERM = 4096;
 
-    /** Returns the tokens of the next term, all of them higher than any token seen before. */
-    static FencingTokens after(long highestSeen) {
-        return new FencingTokens(highestSeen + 1, highestSeen + TOKENS_PER_TERM);
+    /** Returns this many tokens for the next term, all of them higher than any token seen before. */
+    static FencingTokens after(long highestSeen, int count) {
+        return new FencingTokens(highestSeen + 1, highestSeen + count);
     }
 
     /** Returns the number of the term. */
--- a/src/main/java/stileferry/leadership/LeaderCampaign.java
+++ b/src/main/java/stileferry/leadership/LeaderCampaign.java
@@ -34,6 +34,7 @@
     private final String node;
     private final LinkHealth links;
     private final boolean countsAdmissions;
+    private final int tokensPerTerm;
     private final LongUnaryOperator leaseDurationMs;
     private final Listener listener;
     private int generation;
@@ -80,6 +81,7 @@
             String node,
             LinkHealth links,
             boolean countsAdmissions,
+            int tokensPerTerm,
             LongUnaryOperator leaseDurationMs,
             Listener listener) {
         this.environment = environment;
@@ -87,6 +89,7 @@
         this.node = node;
         this.links = links;
         this.countsAdmissions = countsAdmissions;
+        this.tokensPerTerm = tokensPerTerm;
         this.leaseDurationMs = leaseDurationMs;
         this.listener = listener;
     }
@@ -203,7 +206,7 @@
 
     private void writeLeaderKey(int stepGeneration, TermRecord storedTerm, RequestedLease lease) {
         String leaseId = lease.grant.id();
-        FencingTokens tokens = FencingTokens.after(Math.max(listener.term(), storedTerm.term()));
+        FencingTokens tokens = FencingTokens.after(Math.max(listener.term(), storedTerm.term()), tokensPerTerm);
         TermRecord next = storedTerm.next(tokens, countsAdmissions);
         LeaderRecord leader = new LeaderRecord(node, tokens.term(), leaseId);
         CommitRequest request = new CommitRequest()
--- a/src/main/java/stileferry/leadership/LeaderElection.java
+++ b/src/main/java/stileferry/leadership/LeaderElection.java
@@ -65,6 +65,7 @@
      * Creates the election without starting it.
      *
      * @param countsAdmissions whether this controller counts the jobs that it accepts while it leads
+     * @param tokensPerTerm how many fencing tokens a term owns in which this controller leads
      */
     public LeaderElection(
             Environment environment,
@@ -72,7 +73,8 @@
             Settings settings,
             Listener listener,
             LinkHealth links,
-            boolean countsAdmissions) {
+            boolean countsAdmissions,
+            int tokensPerTerm) {
         this.environment = environment;
         this.store = store;
         this.settings = settings;
@@ -85,6 +87,7 @@
                 settings.controllerName(),
                 links,
                 countsAdmissions,
+                tokensPerTerm,
                 lease::nextDurationMs,
                 forCampaign());
         this.cancellations = new CancellationQuorum(environment, settings);
--- a/src/test/java/stileferry/coordination/ControllerNode.java
+++ b/src/test/java/stileferry/coordination/ControllerNode.java
@@ -1,5 +1,6 @@
 package stileferry.coordination;
 
+import stileferry.leadership.FencingTokens;
 import stileferry.protocol.Features;
 import stileferry.protocol.Settings;
 
@@ -25,7 +26,8 @@
         coordinator = new Coordinator(
                 settings,
                 cluster.controllersWithoutFeatures.contains(name()) ? Features.NONE : cluster.features,
-                environment);
+                environment,
+                cluster.controllersWithOldMessageFormat.contains(name()) ? 1 : FencingTokens.TOKENS_PER_TERM);
         environment.execute(coordinator::start);
     }
 
--- a/src/test/java/stileferry/coordination/RollingUpgradeTest.java
+++ b/src/test/java/stileferry/coordination/RollingUpgradeTest.java
@@ -16,7 +16,8 @@
 
 /**
  * Tests rolling upgrades and downgrades under load. Controllers of the older version run this version's code with the
- * first version's format of peer messages; the formats of stored data are the same.
+ * first version's format of peer messages and with one fencing token for each term, so without direct starts; the
+ * formats of stored data are the same.
  */
 class RollingUpgradeTest {
     private static final int LOWERED_TXN_OPS = 4;
@@ -84,7 +85,19 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void jobsFinishWhileLeadershipAlternatesBetweenVersions(long seed) {
+        alternateBetweenVersions(withFirstVersionControllers(seed));
+    }
+
+    /** The same, while requests arrive again after their answers, also those of leaders of the other version. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16})
+    void jobsFinishWhileLeadershipAlternatesAndRequestsAreRepeated(long seed) {
         SimulatedCluster cluster = withFirstVersionControllers(seed);
+        cluster.repeatedRequests.rate = 0.3;
+        alternateBetweenVersions(cluster);
+    }
+
+    private static void alternateBetweenVersions(SimulatedCluster cluster) {
         SplittableRandom random = cluster.random.split();
         Set<String> leaderVersions = new TreeSet<>();
         List<ControllerNode> nodes = List.copyOf(cluster.controllers.values());
--- a/src/test/java/stileferry/coordination/SimulatedCluster.java
+++ b/src/test/java/stileferry/coordination/SimulatedCluster.java
@@ -63,7 +63,7 @@
 
     /**
      * Controllers that exchange peer messages in the format of the first version, f7fe539, which neither writes nor
-     * reads the sender's knowledge of cancellations.
+     * reads the sender's knowledge of cancellations, and whose terms have one fencing token.
      */
     final Set<String> controllersWithOldMessageFormat = new TreeSet<>();
 
@@ -189,7 +189,7 @@
         return controllers.values().stream().filter(n -> n != controller).toList();
     }
 
-    /** Returns the number of terms so far; all controllers of the simulation take as many tokens for one. */
+    /** Returns the number of terms so far, if all controllers are of the present version. */
     long term() {
         long lastToken = store.value("a/term").path("term").asLong();
         return (lastToken + FencingTokens.TOKENS_PER_TERM - 1) / FencingTokens.TOKENS_PER_TERM;
