--- a/src/test/java/stileferry/coordination/InvariantChecksTest.java
+++ b/src/test/java/stileferry/coordination/InvariantChecksTest.java
@@ -92,6 +92,22 @@
         assertDetected(cluster, "asserted");
     }
 
+    @Test
+    void aStartOfAClearedAttemptIsDetected() {
+        SimulatedCluster cluster = clusterWith(spec(9, "free", 2, "za", false));
+        stopAll(cluster);
+        Worker worker = machineIn(cluster, "za", 0);
+        start(cluster, worker, "job-9/0");
+        stopAll(cluster);
+        worker.handleCommands(WorkerMessages.directCommands(
+                HIGH_TERM,
+                worker.incarnation(),
+                List.of(new WorkerCommand(WorkerCommand.Kind.CLEAR, "job-9/0", 1, 0))));
+        assertEquals(List.of(), cluster.violations);
+        start(cluster, worker, "job-9/0");
+        assertDetected(cluster, "started_again");
+    }
+
     @Test
     void aTaskInTheWrongZoneIsDetected() {
         SimulatedCluster cluster = clusterWith(spec(9, "free", 2, "za", false));
