--- a/review/src-2/GangOverLimit.java
+++ b/review/src-2/GangOverLimit.java
@@ -41,7 +41,7 @@
     }
 
     /** job-3 may not be without a running task for longer than the limit while a machine of its zone has room. */
-    private static int judge(Bed bed) {
+    static int judge(Bed bed) {
         double waitingSince = -1;
         for (int second = 0; bed.now() < 117; second++) {
             if (second % 5 == 0 && bed.status("job-3").tide().equals("done")) {
