--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,11 +3,11 @@
 # Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
-if [ -z "$run" ] || [ ! -f target/stileferry.jar ] || [ ! -f target/review-2/GangSpread.class ]; then
+if [ -z "$run" ] || [ ! -f target/stileferry.jar ] || [ ! -f target/review-2/LimitCovers.class ]; then
     echo "not built" >&2
     exit 2
 fi
-java -Xmx256m -XX:+UseSerialGC -cp target/review-2:target/stileferry.jar GangSpread "$run" review/8 2> /dev/null &
+java -Xmx256m -XX:+UseSerialGC -cp target/review-2:target/stileferry.jar LimitCovers "$run" review/8 2> /dev/null &
 pid=$!
 trap 'kill $pid 2> /dev/null' EXIT
 trap 'exit 2' INT TERM
