Tests: the small cluster of PreemptionTest in a base class of its own

Change: SchedulingTestCase holds what PreemptionTest set up itself; a running task may be put on any machine. The assertions are unchanged; one test builds its second task by the shared method.

--- a/src/test/java/stileferry/scheduling/PreemptionTest.java
+++ b/src/test/java/stileferry/scheduling/PreemptionTest.java
@@ -6,99 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import stileferry.cluster.ClusterState;
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
-import stileferry.cluster.TestJob;
-import stileferry.cluster.TestMachine;
-import stileferry.cluster.TestSettings;
 import stileferry.protocol.JobSpec;
-import stileferry.protocol.JobSpecBuilder;
-import stileferry.protocol.MachineType;
-import stileferry.protocol.Settings;
 
 /** Checks which tasks are preempted for which jobs, and on which machines. */
-class PreemptionTest {
-    private static final long NOW = 100_000;
-
-    private ClusterState cluster;
-    private Placement placement;
-    private Machine machine;
-    private int jobCount;
-
-    @BeforeEach
-    void createClusterWithOneMachine() {
-        Settings settings = TestSettings.with(
-                List.of(new Settings.Team("red", 8, 16, 0, 0), new Settings.Team("blue", 2, 16, 0, 0)),
-                new Settings.ServiceLevelObjective("wait", "swift", 0.5, 0.9));
-        cluster = new ClusterState(settings);
-        cluster.setMachineTypes(List.of(new MachineType("box", 8, 0, 32, 50, 1, 1, 0.4, 10, List.of("za", "zb"))));
-        placement = new Placement(cluster);
-        machine = addMachine("m");
-    }
-
-    private Machine addMachine(String name) {
-        return addMachine(name, "za");
-    }
-
-    private Machine addMachine(String name, String zone) {
-        Machine machine = cluster.getOrAddMachine(name);
-        machine.setType(cluster.machineTypes().get(0));
-        cluster.setZone(machine, zone);
-        TestMachine.recordEmptyStatus(machine, NOW);
-        cluster.freeCapacity().update(machine);
-        return machine;
-    }
-
-    private Job addJobFrom(JobSpecBuilder spec) {
-        Job job = TestJob.accepted(spec.build(), jobCount, 0);
-        cluster.addJob(job);
-        return job;
-    }
-
-    private JobSpecBuilder nextSpec(String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
-        return JobSpecBuilder.of(kind, "job-" + ++jobCount)
-                .team(team)
-                .priority(priority)
-                .tasks(tasks)
-                .cpus(cpus)
-                .allowsSpot(true)
-                .runS(60);
-    }
-
-    private Job addJob(String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
-        return addJobFrom(nextSpec(team, kind, priority, tasks, cpus));
-    }
-
-    private Job addJobWithStartObjective(
-            String team, JobSpec.Kind kind, JobSpec.Priority priority, int tasks, double cpus) {
-        return addJobFrom(nextSpec(team, kind, priority, tasks, cpus).jobClass("swift"));
-    }
-
-    private Job addUrgentGangInOneZone(int tasks) {
-        return addJobFrom(nextSpec("red", JobSpec.Kind.GANG, JobSpec.Priority.URGENT, tasks, 2)
-                .jobClass("swift")
-                .oneZone(true)
-                .allowsSpot(false));
-    }
-
-    private TaskAssignment addRunningTask(Job job, long since) {
-        TaskAssignment assignment = new TaskAssignment(job, job.nextUnassignedTask(0), jobCount, "m", 1, since);
-        assignment.markDurable();
-        assignment.markStartSent();
-        assignment.markRunning(since);
-        cluster.assign(assignment);
-        return assignment;
-    }
-
-    private List<Preemption.PlannedPreemption> planPreemptions() {
-        List<Job> waiting = placement.runPass(NOW, 1000, false, (job, machines) -> {});
-        return new Preemption(cluster, placement).plan(waiting, NOW, 60_000, 1000);
-    }
-
+class PreemptionTest extends SchedulingTestCase {
     @Test
     void taskWithLeastLostWorkIsPreemptedFirst() {
         Job idle = addJob("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.IDLE, 2, 4);
@@ -255,9 +170,7 @@
         Job gang = addJob("blue", JobSpec.Kind.GANG, JobSpec.Priority.NORMAL, 2, 4);
         addRunningTask(gang, 80_000);
         Machine other = addMachine("other");
-        TaskAssignment elsewhere = new TaskAssignment(gang, 1, jobCount, other.name(), 1, 80_000);
-        elsewhere.markRunning(80_000);
-        cluster.assign(elsewhere);
+        addRunningTask(gang, other, 80_000);
         TaskAssignment array =
                 addRunningTask(addJob("blue", JobSpec.Kind.ARRAY, JobSpec.Priority.NORMAL, 1, 4), 70_000);
         other.instance().startDrain();
