Free and request capacity only for tasks that their team's limit lets start

Cause: Preemption asked whether one more task of the gang is within the limit and freed capacity for all of them, and reserved it anew in every pass; GangPlacement starts all or none, so the limit refused the gang. The same question was put in other forms elsewhere: capacity was freed for all pending tasks of an array although the limit admits some, and for several jobs of a team of which it admits one; ScaleOutPlan requested machines for a part of a gang and knew no limit of GPUs; drains ended for tasks that could not start.

Change: one rule, TeamLimits.startableTasks: how many pending tasks of a job may start together beside what its team uses and what is planned for other jobs of the team; a gang's are all or none. Selection, preemption, scale out, drains and the view of the queue ask it. Usage by team moves there from ClusterState.

Why it works: capacity is freed and reserved only if the gang is admitted as GangPlacement will ask it.

--- a/src/main/java/stileferry/autoscaling/ScaleOutPlan.java
+++ b/src/main/java/stileferry/autoscaling/ScaleOutPlan.java
@@ -10,26 +10,23 @@
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
+import stileferry.cluster.Resources;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.OperatorSettings;
-import stileferry.protocol.Settings;
 
 /**
  * Plans one scale-out pass: places waiting tasks on the machines that will be up soon, and adds the cheapest machines
  * for the tasks that do not fit.
  */
 final class ScaleOutPlan {
-    /** Tolerance for rounding errors in sums of resource amounts. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     private final ClusterState cluster;
     private final ScaleOutBackOff backOff;
     private final Set<String> unreachableZones;
     private final List<PlannedMachine> bootingOrRequested = new ArrayList<>();
     private final List<PlannedMachine> toRequest = new ArrayList<>();
     private final Map<String, Integer> machinesByZone = new HashMap<>();
-    private final Map<String, Double> cpusByTeam = new HashMap<>();
+    private final Map<String, Resources> plannedByTeam = new HashMap<>();
     private int spotMachines;
     private int allMachines;
 
@@ -77,7 +74,9 @@
     /** Plans machines for all waiting tasks of a job that its team may run. */
     void add(Job job) {
         JobSpec spec = job.spec();
-        int tasks = waitingTasksWithinTeamLimit(job);
+        Resources plannedForTeam = plannedByTeam.computeIfAbsent(spec.team(), name -> new Resources());
+        int tasks = cluster.teamLimits().startableTasks(job, plannedForTeam);
+        plannedForTeam.add(spec, tasks);
         String onlyZone = spec.isGang() && spec.oneZone() ? gangZone(spec, tasks) : null;
         tasks -= placeOnPlanned(spec, tasks, onlyZone);
         while (tasks > 0) {
@@ -107,20 +106,6 @@
         return batches;
     }
 
-    /** Returns how many of a job's waiting tasks its team may still run after what was planned for earlier jobs. */
-    private int waitingTasksWithinTeamLimit(Job job) {
-        Settings.Team team = cluster.settings().team(job.spec().team());
-        int waiting = job.pendingCount();
-        double cpusPerTask = job.spec().cpus();
-        if (team == null || team.maxCpus() == 0 || cpusPerTask == 0) {
-            return waiting;
-        }
-        double cpus = cpusByTeam.getOrDefault(team.name(), cluster.cpusInUse(team.name()));
-        int tasks = (int) Math.max(0, Math.min(waiting, (team.maxCpus() - cpus + ROUNDING_TOLERANCE) / cpusPerTask));
-        cpusByTeam.put(team.name(), cpus + tasks * cpusPerTask);
-        return tasks;
-    }
-
     /**
      * Places tasks on machines that are already planned.
      *
--- a/src/main/java/stileferry/cluster/ClusterState.java
+++ b/src/main/java/stileferry/cluster/ClusterState.java
@@ -1,7 +1,6 @@
 package stileferry.cluster;
 
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -54,7 +53,7 @@
 
     private final Set<String> deletedMachinesView = Collections.unmodifiableSet(deletedMachines);
     private final LinkHealth linkHealth;
-    private final Map<String, TeamUsage> usageByTeam = new HashMap<>();
+    private final TeamLimits teamLimits;
     private final int[] assignmentsByPriority = new int[JobSpec.Priority.values().length];
 
     public ClusterState(Settings settings) {
@@ -66,9 +65,7 @@
         this.settings = settings;
         this.invariants = invariants;
         this.linkHealth = linkHealth;
-        for (Settings.Team team : settings.teams()) {
-            usageByTeam.put(team.name(), new TeamUsage());
-        }
+        this.teamLimits = new TeamLimits(settings, invariants);
     }
 
     /** Adds a job; jobs have to be added in the order of their submission. */
@@ -160,10 +157,7 @@
 
     private void adjustUsage(JobSpec spec, int sign) {
         assignmentsByPriority[spec.priority().ordinal()] += sign;
-        TeamUsage usage = usageByTeam.get(spec.team());
-        if (usage != null) { // a team that is no longer in the settings has no limit
-            usage.adjust(spec, sign);
-        }
+        teamLimits.adjust(spec, sign);
     }
 
     /** Returns whether any task of a lower priority may be on a machine. */
@@ -176,46 +170,9 @@
         return false;
     }
 
-    /** Returns the CPUs of a team's tasks that may be on machines, or 0 for a team that is not in the settings. */
-    public double cpusInUse(String team) {
-        TeamUsage usage = usageByTeam.get(team);
-        return usage == null ? 0 : usage.cpus();
-    }
-
-    /** Returns the GPUs of a team's tasks that may be on machines, or 0 for a team that is not in the settings. */
-    public double gpusInUse(String team) {
-        TeamUsage usage = usageByTeam.get(team);
-        return usage == null ? 0 : usage.gpus();
-    }
-
-    /** Returns whether the job's team stays within its limit if one more task of the job starts. */
-    public boolean withinTeamLimit(Job job) {
-        Settings.Team team = settings.team(job.spec().team());
-        return team == null
-                || (team.maxCpus() == 0
-                                || cpusInUse(team.name()) + job.spec().cpus()
-                                        <= team.maxCpus() + Resources.ROUNDING_TOLERANCE)
-                        && (team.maxGpus() == 0
-                                || gpusInUse(team.name()) + job.spec().gpus()
-                                        <= team.maxGpus() + Resources.ROUNDING_TOLERANCE);
-    }
-
-    /** Checks, after tasks of a job have been assigned, that the job's team is within its limit. */
-    public void checkTeamLimit(Job job) {
-        Settings.Team team = settings.team(job.spec().team());
-        if (team == null) {
-            return;
-        }
-        boolean aboveCpus =
-                team.maxCpus() > 0 && cpusInUse(team.name()) > team.maxCpus() + Resources.ROUNDING_TOLERANCE;
-        boolean aboveGpus =
-                team.maxGpus() > 0 && gpusInUse(team.name()) > team.maxGpus() + Resources.ROUNDING_TOLERANCE;
-        if (aboveCpus || aboveGpus) {
-            invariants.violated(
-                    InvariantMonitor.Invariant.START_WITHIN_TEAM_LIMIT,
-                    "job=" + job.spec().id() + " team=" + team.name() + " cpus=" + cpusInUse(team.name()) + " gpus="
-                            + gpusInUse(team.name()));
-        }
+    /** Returns what the teams use, and what their limits and quotas allow. */
+    public TeamLimits teamLimits() {
+        return teamLimits;
     }
 
     /** Returns the monitor of the invariants that are checked while this controller runs. */
@@ -223,14 +180,6 @@
         return invariants;
     }
 
-    /** Returns whether a team uses more than its quota, even after releasing these CPUs and GPUs. */
-    public boolean exceedsQuota(String teamName, double releasedCpus, double releasedGpus) {
-        Settings.Team team = settings.team(teamName);
-        return team != null
-                && (cpusInUse(teamName) - releasedCpus > team.guaranteedCpus() + Resources.ROUNDING_TOLERANCE
-                        || gpusInUse(teamName) - releasedGpus > team.guaranteedGpus() + Resources.ROUNDING_TOLERANCE);
-    }
-
     public Settings settings() {
         return settings;
     }
--- a/src/main/java/stileferry/lifecycle/TaskLifecycle.java
+++ b/src/main/java/stileferry/lifecycle/TaskLifecycle.java
@@ -109,7 +109,7 @@
             commitQueue.appendEvent(TaskEvents.assigned(assignment), () -> onAssignmentDurable(assignment, machine));
             index = job.nextUnassignedTask(index);
         }
-        cluster.checkTeamLimit(job);
+        cluster.teamLimits().check(job);
     }
 
     /**
--- a/src/main/java/stileferry/requests/AdministrationViews.java
+++ b/src/main/java/stileferry/requests/AdministrationViews.java
@@ -126,10 +126,10 @@
                     .put("name", team.name())
                     .put("cpus", team.guaranteedCpus())
                     .put("cpus_max", team.maxCpus())
-                    .put("cpus_in_use", cluster.cpusInUse(team.name()))
+                    .put("cpus_in_use", cluster.teamLimits().cpusInUse(team.name()))
                     .put("gpus", team.guaranteedGpus())
                     .put("gpus_max", team.maxGpus())
-                    .put("gpus_in_use", cluster.gpusInUse(team.name()));
+                    .put("gpus_in_use", cluster.teamLimits().gpusInUse(team.name()));
             describePendingTasks(team, view.putObject("waiting"));
         }
         return response;
--- a/src/main/java/stileferry/scheduling/BackfillPass.java
+++ b/src/main/java/stileferry/scheduling/BackfillPass.java
@@ -163,7 +163,7 @@
 
     /** Blocks all jobs that request at least as much as a job that fits on no machine: they don't fit either. */
     private void blockLargerRequests(Job job) {
-        if (unplaceableRequests.add(job) && cluster.withinTeamLimit(job)) {
+        if (unplaceableRequests.add(job) && cluster.teamLimits().startableTasks(job) > 0) {
             for (QueuedJob entry : queue) {
                 if (!entry.blocked && unplaceableRequests.cover(entry.job)) {
                     markBlocked(entry);
--- a/src/main/java/stileferry/scheduling/Consolidation.java
+++ b/src/main/java/stileferry/scheduling/Consolidation.java
@@ -75,7 +75,7 @@
 
     /** Starts or ends drains and moves service tasks, after a regular pass that left these jobs waiting. */
     void run(List<Job> waiting, long now) {
-        double pendingCpus = pendingCpus(waiting);
+        double pendingCpus = startableCpus(waiting);
         ClusterCapacity capacity = measureCapacity();
         if (pendingCpus > LOW_DEMAND_CPU_SHARE * capacity.totalCpus) {
             lowDemandSince = now;
@@ -88,12 +88,10 @@
         }
     }
 
-    private double pendingCpus(List<Job> waiting) {
+    private double startableCpus(List<Job> waiting) {
         double pendingCpus = 0;
         for (Job job : waiting) {
-            if (cluster.withinTeamLimit(job)) {
-                pendingCpus += job.pendingCount() * job.spec().cpus();
-            }
+            pendingCpus += cluster.teamLimits().startableTasks(job) * job.spec().cpus();
         }
         return pendingCpus;
     }
--- a/src/main/java/stileferry/scheduling/MachineSelector.java
+++ b/src/main/java/stileferry/scheduling/MachineSelector.java
@@ -31,7 +31,7 @@
 
     /** Returns the best of the usable machines on which one more task of the job fits, or null if there is none. */
     Machine select(Job job, Predicate<Machine> usable, long now) {
-        if (!cluster.withinTeamLimit(job)) {
+        if (cluster.teamLimits().startableTasks(job) == 0) {
             return null;
         }
         BestMachineVisitor visitor = new BestMachineVisitor(job, usable, now);
--- a/src/main/java/stileferry/scheduling/PlacementConstraints.java
+++ b/src/main/java/stileferry/scheduling/PlacementConstraints.java
@@ -59,7 +59,7 @@
 
     /** Returns why the next task of a job is pending, as a text for operators. */
     String pendingReason(Job job, long now) {
-        if (!cluster.withinTeamLimit(job)) {
+        if (cluster.teamLimits().startableTasks(job) == 0) {
             return "its team is at its limit";
         }
         int allowed = 0;
--- a/src/main/java/stileferry/scheduling/Preemption.java
+++ b/src/main/java/stileferry/scheduling/Preemption.java
@@ -70,19 +70,19 @@
             if (visitsLeft <= 0) {
                 break; // the remaining jobs are left to a later planning run
             }
-            if (!mayPreempt(job, timeOfDay, bootMs)
-                    || !cluster.withinTeamLimit(job)
-                    || !victimSelector.hasCandidatesFor(job)) {
+            int tasks = cluster.teamLimits()
+                    .startableTasks(job, plan.reservedFor(job.spec().team()));
+            if (tasks == 0 || !mayPreempt(job, timeOfDay, bootMs) || !victimSelector.hasCandidatesFor(job)) {
                 continue;
             }
             if (job.spec().isGang()) {
-                plan = freeCapacityForGang(job, now, plan);
+                plan = freeCapacityForGang(job, tasks, now, plan);
                 continue;
             }
             UnplaceableRequests unplaceable = unplaceableByEntitlement.computeIfAbsent(
                     List.of(job.spec().priority(), job.withinQuota(), job.spec().team()),
                     any -> new UnplaceableRequests());
-            if (!unplaceable.cover(job) && freeCapacity(job, null, now, plan) == 0) {
+            if (!unplaceable.cover(job) && freeCapacity(job, tasks, null, now, plan) == 0) {
                 unplaceable.add(job);
             }
         }
@@ -107,15 +107,15 @@
      * Frees capacity for all tasks of a gang or for none, as capacity for a part of it is of no use. If the tasks have
      * to run in one zone, the zone with the fewest image pulls and then the least lost work is used.
      *
+     * @param tasks the number of the gang's pending tasks
      * @return the plan with the preemptions for the gang, or the unchanged plan if the capacity can't be freed
      */
-    private PreemptionPlan freeCapacityForGang(Job gang, long now, PreemptionPlan before) {
-        int tasks = gang.pendingCount();
+    private PreemptionPlan freeCapacityForGang(Job gang, int tasks, long now, PreemptionPlan before) {
         PreemptionPlan best = null;
         for (String zone :
                 gang.spec().oneZone() ? cluster.settings().zones() : Collections.<String>singletonList(null)) {
             PreemptionPlan zonePlan = before.copy();
-            if (freeCapacity(gang, zone, now, zonePlan) == tasks && zonePlan.isBetterThan(best)) {
+            if (freeCapacity(gang, tasks, zone, now, zonePlan) == tasks && zonePlan.isBetterThan(best)) {
                 best = zonePlan;
             }
         }
@@ -123,15 +123,15 @@
     }
 
     /**
-     * Frees capacity for as many pending tasks of a job as possible.
+     * Frees capacity for pending tasks of a job, as many as possible.
      *
+     * @param tasks the number of tasks that may start if there is capacity
      * @param zone the only zone to use, or null if any zone may be used
      * @return the number of tasks for which capacity is freed
      */
-    private int freeCapacity(Job job, String zone, long now, PreemptionPlan plan) {
+    private int freeCapacity(Job job, int tasks, String zone, long now, PreemptionPlan plan) {
         PriorityQueue<Candidate> candidates = findCandidates(job, zone, now, plan);
         int freedTasks = 0;
-        int tasks = job.pendingCount();
         while (freedTasks < tasks && visitsLeft > 0 && !candidates.isEmpty()) {
             Candidate best = candidates.poll();
             visitsLeft--;
--- a/src/main/java/stileferry/scheduling/PreemptionPlan.java
+++ b/src/main/java/stileferry/scheduling/PreemptionPlan.java
@@ -19,6 +19,7 @@
     private final Set<TaskAssignment> stopping = new HashSet<>();
     private final Map<String, Resources> reservedByMachine = new HashMap<>();
     private final Map<String, Resources> releasedByTeam = new HashMap<>();
+    private final Map<String, Resources> reservedByTeam = new HashMap<>();
     private final List<Reservation> reservations = new ArrayList<>();
     private int imagePulls;
     private long lostWorkMs;
@@ -32,6 +33,7 @@
         copy.stopping.addAll(stopping);
         reservedByMachine.forEach((machine, reserved) -> copy.reservedByMachine.put(machine, reserved.copy()));
         releasedByTeam.forEach((team, released) -> copy.releasedByTeam.put(team, released.copy()));
+        reservedByTeam.forEach((team, reserved) -> copy.reservedByTeam.put(team, reserved.copy()));
         copy.reservations.addAll(reservations);
         copy.imagePulls = imagePulls;
         copy.lostWorkMs = lostWorkMs;
@@ -69,6 +71,9 @@
         reservedByMachine
                 .computeIfAbsent(machine.name(), name -> new Resources())
                 .add(job.spec());
+        reservedByTeam
+                .computeIfAbsent(job.spec().team(), name -> new Resources())
+                .add(job.spec());
         reservations.add(new Reservation(job, machine));
         imagePulls += pullsImage ? 1 : 0;
         lostWorkMs += victimLostWorkMs;
@@ -83,6 +88,11 @@
         return reservedByMachine.getOrDefault(machine.name(), NO_RESOURCES);
     }
 
+    /** Returns the resources reserved for a team's pending tasks that were planned earlier; not to be modified. */
+    Resources reservedFor(String team) {
+        return reservedByTeam.getOrDefault(team, NO_RESOURCES);
+    }
+
     /** Returns the resources that a team's stopping tasks release; not to be modified. */
     Resources releasedBy(String team) {
         return releasedByTeam.getOrDefault(team, NO_RESOURCES);
--- a/src/main/java/stileferry/scheduling/VictimSelector.java
+++ b/src/main/java/stileferry/scheduling/VictimSelector.java
@@ -29,7 +29,8 @@
         }
         if (job.withinQuota()) {
             for (Settings.Team team : cluster.settings().teams()) {
-                if (!team.name().equals(job.spec().team()) && cluster.exceedsQuota(team.name(), 0, 0)) {
+                if (!team.name().equals(job.spec().team())
+                        && cluster.teamLimits().exceedsQuota(team.name(), 0, 0)) {
                     return true;
                 }
             }
@@ -95,9 +96,10 @@
         return job.withinQuota()
                 && !assignment.job().withinQuota()
                 && !victim.team().equals(job.spec().team())
-                && cluster.exceedsQuota(
-                        victim.team(),
-                        releasedByTeam.cpus() + released.cpus(),
-                        releasedByTeam.gpus() + released.gpus());
+                && cluster.teamLimits()
+                        .exceedsQuota(
+                                victim.team(),
+                                releasedByTeam.cpus() + released.cpus(),
+                                releasedByTeam.gpus() + released.gpus());
     }
 }
--- a/src/test/java/stileferry/cluster/InvariantMonitorTest.java
+++ b/src/test/java/stileferry/cluster/InvariantMonitorTest.java
@@ -20,7 +20,7 @@
 
     private void assign(int index, long attempt) {
         cluster.assign(new TaskAssignment(job, index, attempt, "host-1", 1, 1));
-        cluster.checkTeamLimit(job);
+        cluster.teamLimits().check(job);
     }
 
     private void assertCounts(long oneAssignment, long teamLimit) {
--- /dev/null
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -0,0 +1,67 @@
+package stileferry.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import stileferry.cluster.Job;
+import stileferry.cluster.Machine;
+import stileferry.protocol.JobSpec.Kind;
+import stileferry.protocol.JobSpec.Priority;
+
+/**
+ * Checks that jobs which their team's limit, zones or gang keep from starting neither take capacity from other jobs nor
+ * keep them from starting.
+ */
+class StartConditionsTest extends SchedulingTestCase {
+    private static final long STARTED = 10_000;
+
+    private void run(Job job, Machine on, int tasks) {
+        for (int i = 0; i < tasks; i++) {
+            addRunningTask(job, on, STARTED);
+        }
+    }
+
+    private List<Job> startedInPass(long timeOfDay) {
+        List<Job> started = new ArrayList<>();
+        placement.runPass(NOW, timeOfDay, true, (job, machines) -> {
+            started.add(job);
+            job.requestCancellation();
+        });
+        return started;
+    }
+
+    private Map<String, Long> victimsByMachine() {
+        return planPreemptions().stream()
+                .collect(Collectors.groupingBy(planned -> planned.victim().machine(), Collectors.counting()));
+    }
+
+    /** Fills two machines with red's services, up to the given number of CPUs below its limit of 16. */
+    private void useRedLimitExcept(int cpus) {
+        run(addJob("red", Kind.SERVICE, Priority.CRITICAL, 16 - cpus, 1), addMachine("red-1"), 8);
+        run(cluster.jobs().get("job-1"), addMachine("red-2"), 8 - cpus);
+    }
+
+    /** Guards against running tasks being stopped, again and again, for a gang that exceeds its team's limit. */
+    @Test
+    void nothingIsPreemptedForGangOfWhichOnlyAPartIsWithinItsTeamsLimit() {
+        useRedLimitExcept(4);
+        run(addJob("blue", Kind.ARRAY, Priority.NORMAL, 8, 1), machine, 8);
+        addJob("red", Kind.GANG, Priority.URGENT, 4, 2);
+        assertEquals(Map.of(), victimsByMachine());
+    }
+
+    /** Guards against capacity being freed for tasks that exceed the limit of the team, of one job or of several. */
+    @Test
+    void capacityIsFreedOnlyForTheTasksWithinTheTeamsLimit() {
+        useRedLimitExcept(3);
+        cluster.machines().get("red-2").instance().startDrain();
+        run(addJob("blue", Kind.ARRAY, Priority.NORMAL, 8, 1), machine, 8);
+        addJob("red", Kind.ARRAY, Priority.URGENT, 2, 1);
+        addJob("red", Kind.ARRAY, Priority.URGENT, 5, 1);
+        assertEquals(Map.of("m", 3L), victimsByMachine());
+    }
+}
