Take a refusal as proof only against jobs without precedence over the refused one

Cause: a pass skips jobs that ask for at least as much as one that found no machine. MachineSelector also passes over capacity that is reserved for a job with precedence over the refused one. That reason does not hold for the job with the reservation: a small array task, tried first while the head was blocked, was refused the reserved capacity and thereby blocked the service it is reserved for; Preemption renewed the reservation in every pass.

Refuted: that the room is too small (the service starts there if it is tried).

Change: UnplaceableRequests covers a job only if that job has no precedence over the refused one. The order of precedence, priority and then quota, is Job.BY_PRECEDENCE, which QueueOrder uses too.

Why it works: reservations are kept only from jobs that come after the reserving one in that order, so what was reserved against the refused job is reserved against every job that the refusal now covers.

--- a/src/main/java/stileferry/cluster/Job.java
+++ b/src/main/java/stileferry/cluster/Job.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.BitSet;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +22,14 @@
 public final class Job {
     public static final String KEY_PREFIX = "j/";
 
+    /**
+     * Orders jobs by precedence: those of higher priority first, and with the same priority those within their quota.
+     * Capacity that is reserved for a job is kept from jobs that come later in this order.
+     */
+    public static final Comparator<Job> BY_PRECEDENCE = Comparator.<Job, JobSpec.Priority>comparing(
+                    job -> job.spec.priority())
+            .thenComparing(job -> !job.withinQuota);
+
     private static final String COMPLETED_KEY_PREFIX = "e/";
 
     private final JobSpec spec;
--- a/src/main/java/stileferry/scheduling/QueueOrder.java
+++ b/src/main/java/stileferry/scheduling/QueueOrder.java
@@ -54,8 +54,7 @@
             }
         }
         queue.sort(Comparator.<Job, Boolean>comparing(job -> !overdue(job, timeOfDay))
-                .thenComparing(job -> job.spec().priority())
-                .thenComparing(job -> !job.withinQuota())
+                .thenComparing(Job.BY_PRECEDENCE)
                 .thenComparingLong(job -> job.submissionOrder()));
         return queue;
     }
--- a/src/main/java/stileferry/scheduling/UnplaceableRequests.java
+++ b/src/main/java/stileferry/scheduling/UnplaceableRequests.java
@@ -10,7 +10,7 @@
  * found for a job that requests at least as much either.
  */
 final class UnplaceableRequests {
-    private final List<JobSpec> specs = new ArrayList<>();
+    private final List<Job> unplaceableJobs = new ArrayList<>();
 
     /** Adds a job without capacity, unless the reason may not apply to other jobs; returns whether it was added. */
     boolean add(Job job) {
@@ -21,17 +21,19 @@
                 || job.failureHistory().failedAnywhere()) {
             return false; // the reason may apply to this job only
         }
-        specs.add(spec);
+        unplaceableJobs.add(job);
         return true;
     }
 
     /**
-     * Returns whether the job requests at least as much as an added job and may use no machine that the added job may
-     * not use.
+     * Returns whether the job requests at least as much as an added job, may use no machine that the added job may not
+     * use, and does not take precedence over it: capacity that is reserved for a job is only kept from those after it.
      */
     boolean cover(Job job) {
-        for (JobSpec unplaceable : specs) {
-            if (requestsAtLeast(job.spec(), unplaceable) && allowedMachinesSubsetOf(job.spec(), unplaceable)) {
+        for (Job unplaceable : unplaceableJobs) {
+            if (requestsAtLeast(job.spec(), unplaceable.spec())
+                    && allowedMachinesSubsetOf(job.spec(), unplaceable.spec())
+                    && Job.BY_PRECEDENCE.compare(job, unplaceable) >= 0) {
                 return true;
             }
         }
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -64,4 +64,16 @@
         addJob("red", Kind.ARRAY, Priority.URGENT, 5, 1);
         assertEquals(Map.of("m", 3L), victimsByMachine());
     }
+
+    /** Guards against services that never start in the capacity that was freed and is reserved for them. */
+    @Test
+    void capacityReservedForAJobIsNoReasonNotToStartThatJobThere() {
+        addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 1, 4).zone("zb"));
+        Job array = addJob("blue", Kind.ARRAY, Priority.NORMAL, 20, 1);
+        run(array, machine, 8);
+        Job service = addJob("red", Kind.SERVICE, Priority.CRITICAL, 1, 4);
+        planPreemptions().forEach(planned -> cluster.unassign(planned.victim(), false));
+        assertEquals(4, machine.freeCpus());
+        assertEquals(List.of(service), startedInPass(1000));
+    }
 }
