Count planned tasks by zone where capacity is freed or requested for jobs with zone constraints

Cause: PlacementConstraints counts the tasks that a job has in a zone now, not those that a plan has just put there. So Preemption planned all four tasks of the gang in the zone that admits two, took that for capacity for the whole gang, and reserved it anew in every pass; GangPlacement counts trial assignments and refused. The same count was missing where capacity was freed for services with `apart`, for arrays and services with `same_place` (in several zones at once), where machines are requested for either, and where a start waits for capacity with the image.

Refuted: the team's limit (the gang is within it).

Change: ZoneAllowance says how many more tasks of a job a zone admits beside those on machines and those planned since. Placement, preemption, scale out and the delay for images ask it.

Why it works: the plan for a gang is complete only if each zone admits what is planned there, as GangPlacement finds.

--- a/src/main/java/stileferry/autoscaling/ScaleOutPlan.java
+++ b/src/main/java/stileferry/autoscaling/ScaleOutPlan.java
@@ -11,6 +11,7 @@
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
 import stileferry.cluster.Resources;
+import stileferry.cluster.ZoneAllowance;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
 import stileferry.protocol.OperatorSettings;
@@ -77,19 +78,32 @@
         Resources plannedForTeam = plannedByTeam.computeIfAbsent(spec.team(), name -> new Resources());
         int tasks = cluster.teamLimits().startableTasks(job, plannedForTeam);
         plannedForTeam.add(spec, tasks);
-        String onlyZone = spec.isGang() && spec.oneZone() ? gangZone(spec, tasks) : null;
-        tasks -= placeOnPlanned(spec, tasks, onlyZone);
+        ZoneAllowance zones = zones(job, tasks);
+        tasks -= placeOnPlanned(spec, tasks, zones);
         while (tasks > 0) {
-            PlannedMachine machine = cheapest(spec, onlyZone);
+            PlannedMachine machine = cheapest(spec, zones);
             if (machine == null) {
                 return;
             }
             countMachines(machine.pool(), 1);
             toRequest.add(machine);
-            tasks -= machine.place(spec, tasks);
+            tasks -= place(spec, tasks, machine, zones);
         }
     }
 
+    /** Places as many of the tasks on a planned machine as fit and are allowed there, and returns their number. */
+    private static int place(JobSpec spec, int tasks, PlannedMachine machine, ZoneAllowance zones) {
+        int placed = machine.place(spec, Math.min(tasks, zones.remaining(machine.zone())));
+        zones.plan(machine.zone(), placed);
+        return placed;
+    }
+
+    /** Returns where machines for the tasks of a job may be. */
+    private ZoneAllowance zones(Job job, int tasks) {
+        String gangZone = job.spec().isGang() && job.spec().oneZone() ? gangZone(job, tasks) : null;
+        return gangZone == null ? new ZoneAllowance(job) : ZoneAllowance.in(gangZone, job);
+    }
+
     /**
      * Returns the machines to request, by pool, in batches of at most this size; the largest batches come first, as few
      * calls to the cloud are allowed.
@@ -109,19 +123,17 @@
     /**
      * Places tasks on machines that are already planned.
      *
-     * @param onlyZone the only zone to use, or null if any zone may be used
+     * @param zones the zones to use; the placed tasks are recorded in it
      * @return the number of tasks placed
      */
-    private int placeOnPlanned(JobSpec spec, int tasks, String onlyZone) {
+    private int placeOnPlanned(JobSpec spec, int tasks, ZoneAllowance zones) {
         int placed = 0;
         for (List<PlannedMachine> machines : List.of(bootingOrRequested, toRequest)) {
             for (PlannedMachine machine : machines) {
                 if (placed == tasks) {
                     return placed;
                 }
-                if (onlyZone == null || onlyZone.equals(machine.zone())) {
-                    placed += machine.place(spec, tasks - placed);
-                }
+                placed += place(spec, tasks - placed, machine, zones);
             }
         }
         return placed;
@@ -131,8 +143,8 @@
      * Returns the zone for a gang that must run in one zone: the one where most of its tasks fit soon, otherwise the
      * one where the cheapest machine is available, or null if there is none.
      */
-    private String gangZone(JobSpec spec, int tasks) {
-        Map<String, Integer> fittingByZone = fittingTasksByZone(spec);
+    private String gangZone(Job gang, int tasks) {
+        Map<String, Integer> fittingByZone = fittingTasksByZone(gang.spec());
         String best = null;
         for (Map.Entry<String, Integer> entry : fittingByZone.entrySet()) {
             String zone = entry.getKey();
@@ -140,10 +152,11 @@
                 best = zone;
             }
         }
-        if (best != null && (fittingByZone.get(best) >= tasks || cheapest(spec, best) != null)) {
+        if (best != null
+                && (fittingByZone.get(best) >= tasks || cheapest(gang.spec(), ZoneAllowance.in(best, gang)) != null)) {
             return best;
         }
-        PlannedMachine machine = cheapest(spec, null);
+        PlannedMachine machine = cheapest(gang.spec(), new ZoneAllowance(gang));
         return machine == null ? null : machine.zone();
     }
 
@@ -168,10 +181,8 @@
 
     /**
      * Returns the cheapest machine that a task may run on and that may be requested now, or null if there is none.
-     *
-     * @param onlyZone the only zone to use, or null if any zone may be used
      */
-    private PlannedMachine cheapest(JobSpec spec, String onlyZone) {
+    private PlannedMachine cheapest(JobSpec spec, ZoneAllowance zones) {
         double spotShare = cluster.operatorSettings().number(OperatorSettings.SPOT_SHARE);
         boolean spotAllowed = spotMachines + 1 <= spotShare * (allMachines + 1);
         PlannedMachine best = null;
@@ -180,7 +191,7 @@
                 for (boolean spot : new boolean[] {true, false}) {
                     PlannedMachine machine = new PlannedMachine(new InstancePool(type, zone, spot));
                     if ((!spot || spotAllowed)
-                            && (onlyZone == null || onlyZone.equals(zone))
+                            && zones.remaining(zone) > 0
                             && mayRequest(machine.pool())
                             && machine.fits(spec)
                             && (best == null || cheaper(machine.pool(), best.pool()))) {
--- a/src/main/java/stileferry/scheduling/ImageLocalityDelay.java
+++ b/src/main/java/stileferry/scheduling/ImageLocalityDelay.java
@@ -6,6 +6,7 @@
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
+import stileferry.cluster.ZoneAllowance;
 import stileferry.protocol.JobSpec;
 
 /**
@@ -63,15 +64,18 @@
      */
     private boolean preemptionCanFreeCapacityWithImage(Job job, long now) {
         int requiredTasks = job.spec().isGang() ? job.spec().taskCount() : 1;
+        ZoneAllowance zones = new ZoneAllowance(job);
         Map<String, Integer> fittingTasksByZone = new HashMap<>();
         for (Machine machine : cluster.machines().values()) {
             if (machine.agent().heardThisTerm()
                     && machine.hasImage(job.spec().image())
                     && constraints.allow(job, machine, now)) {
                 String zone = job.spec().oneZone() ? machine.zone() : "";
-                int fittingTasks =
-                        fittingTasksByZone.merge(zone, machine.tasksFittingWithPreemption(job), Integer::sum);
-                if (fittingTasks >= requiredTasks) {
+                int fittingHere = Math.min(machine.tasksFittingWithPreemption(job), zones.remaining(machine.zone()));
+                if (job.spec().spreadAcrossZones()) {
+                    zones.plan(machine.zone(), fittingHere);
+                }
+                if (fittingTasksByZone.merge(zone, fittingHere, Integer::sum) >= requiredTasks) {
                     return true;
                 }
             }
--- a/src/main/java/stileferry/scheduling/PlacementConstraints.java
+++ b/src/main/java/stileferry/scheduling/PlacementConstraints.java
@@ -3,6 +3,7 @@
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
+import stileferry.cluster.ZoneAllowance;
 import stileferry.protocol.JobSpec;
 
 /**
@@ -26,7 +27,7 @@
                 && spec.fitsMachineType(machine.type())
                 && (spec.zone() == null || spec.zone().equals(machine.zone()))
                 && (spec.allowsSpot() || !machine.spot())
-                && allowZone(job, machine.zone())
+                && new ZoneAllowance(job).remaining(machine.zone()) > 0
                 && (!job.failureHistory().failedOn(machine.name())
                         || job.failureHistory().jobAtFault());
     }
@@ -41,22 +42,6 @@
                                 * cluster.settings().workers().heartbeatIntervalS();
     }
 
-    /**
-     * Returns whether the job's zone constraints allow one more task in a zone beside those that may be on machines.
-     */
-    private static boolean allowZone(Job job, String zone) {
-        if (job.spec().oneZone()) {
-            for (String used : job.zonesWithTasks()) {
-                if (!used.equals(zone)) {
-                    return false;
-                }
-            }
-        }
-        // after a failover, machines whose zone is not known yet may be in this zone
-        int possibleTasks = job.tasksInZone(zone) + job.tasksInZone("");
-        return !job.spec().spreadAcrossZones() || possibleTasks < (job.spec().taskCount() + 1) / 2;
-    }
-
     /** Returns why the next task of a job is pending, as a text for operators. */
     String pendingReason(Job job, long now) {
         if (cluster.teamLimits().startableTasks(job) == 0) {
--- a/src/main/java/stileferry/scheduling/Preemption.java
+++ b/src/main/java/stileferry/scheduling/Preemption.java
@@ -1,6 +1,5 @@
 package stileferry.scheduling;
 
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +9,7 @@
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
 import stileferry.cluster.TaskAssignment;
+import stileferry.cluster.ZoneAllowance;
 import stileferry.protocol.JobSpec;
 
 /**
@@ -82,7 +82,7 @@
             UnplaceableRequests unplaceable = unplaceableByEntitlement.computeIfAbsent(
                     List.of(job.spec().priority(), job.withinQuota(), job.spec().team()),
                     any -> new UnplaceableRequests());
-            if (!unplaceable.cover(job) && freeCapacity(job, tasks, null, now, plan) == 0) {
+            if (!unplaceable.cover(job) && freeCapacity(job, tasks, new ZoneAllowance(job), now, plan) == 0) {
                 unplaceable.add(job);
             }
         }
@@ -112,38 +112,47 @@
      */
     private PreemptionPlan freeCapacityForGang(Job gang, int tasks, long now, PreemptionPlan before) {
         PreemptionPlan best = null;
-        for (String zone :
-                gang.spec().oneZone() ? cluster.settings().zones() : Collections.<String>singletonList(null)) {
-            PreemptionPlan zonePlan = before.copy();
-            if (freeCapacity(gang, tasks, zone, now, zonePlan) == tasks && zonePlan.isBetterThan(best)) {
-                best = zonePlan;
+        for (ZoneAllowance zones : zoneAlternatives(gang)) {
+            PreemptionPlan alternative = before.copy();
+            if (freeCapacity(gang, tasks, zones, now, alternative) == tasks && alternative.isBetterThan(best)) {
+                best = alternative;
             }
         }
         return best == null ? before : best;
     }
 
+    private List<ZoneAllowance> zoneAlternatives(Job gang) {
+        if (!gang.spec().oneZone()) {
+            return List.of(new ZoneAllowance(gang));
+        }
+        return cluster.settings().zones().stream()
+                .map(zone -> ZoneAllowance.in(zone, gang))
+                .toList();
+    }
+
     /**
      * Frees capacity for pending tasks of a job, as many as possible.
      *
      * @param tasks the number of tasks that may start if there is capacity
-     * @param zone the only zone to use, or null if any zone may be used
+     * @param zones the zones to use; the planned tasks are recorded in it
      * @return the number of tasks for which capacity is freed
      */
-    private int freeCapacity(Job job, int tasks, String zone, long now, PreemptionPlan plan) {
-        PriorityQueue<Candidate> candidates = findCandidates(job, zone, now, plan);
+    private int freeCapacity(Job job, int tasks, ZoneAllowance zones, long now, PreemptionPlan plan) {
+        PriorityQueue<Candidate> candidates = findCandidates(job, zones, now, plan);
         int freedTasks = 0;
         while (freedTasks < tasks && visitsLeft > 0 && !candidates.isEmpty()) {
             Candidate best = candidates.poll();
             visitsLeft--;
             // preemptions planned since may have made it more expensive or ruled it out
-            Candidate current = findCandidate(job, best.machine, now, plan);
+            Candidate current = findCandidate(job, best.machine, zones, now, plan);
             if (current == null || current.lostWorkMs > best.lostWorkMs) {
                 addUnlessNull(candidates, current);
                 continue;
             }
             addToPlan(job, current, plan);
+            zones.plan(best.machine.zone(), 1);
             freedTasks++;
-            addUnlessNull(candidates, findCandidate(job, best.machine, now, plan));
+            addUnlessNull(candidates, findCandidate(job, best.machine, zones, now, plan));
         }
         return freedTasks;
     }
@@ -151,16 +160,14 @@
     /**
      * Returns the machines on which capacity can be freed: those without an image pull first, then by least lost work.
      */
-    private PriorityQueue<Candidate> findCandidates(Job job, String zone, long now, PreemptionPlan plan) {
+    private PriorityQueue<Candidate> findCandidates(Job job, ZoneAllowance zones, long now, PreemptionPlan plan) {
         PriorityQueue<Candidate> candidates = new PriorityQueue<>(Comparator.comparing(Candidate::pullsImage)
                 .thenComparingLong(Candidate::lostWorkMs)
                 .thenComparing(Candidate::machine));
         for (Machine machine : cluster.machines().values()) {
-            if (machine.agent().heardThisTerm()
-                    && (zone == null || zone.equals(machine.zone()))
-                    && constraints.allow(job, machine, now)) {
+            if (machine.agent().heardThisTerm() && constraints.allow(job, machine, now)) {
                 visitsLeft--;
-                addUnlessNull(candidates, findCandidate(job, machine, now, plan));
+                addUnlessNull(candidates, findCandidate(job, machine, zones, now, plan));
             }
         }
         return candidates;
@@ -183,7 +190,10 @@
     }
 
     /** Returns how capacity for one more task can be freed on a machine, or null if that is not possible. */
-    private Candidate findCandidate(Job job, Machine machine, long now, PreemptionPlan plan) {
+    private Candidate findCandidate(Job job, Machine machine, ZoneAllowance zones, long now, PreemptionPlan plan) {
+        if (zones.remaining(machine.zone()) == 0) {
+            return null;
+        }
         List<TaskAssignment> victims = victimSelector.select(job, machine, now, plan);
         if (victims == null) {
             return null;
--- a/src/test/java/stileferry/autoscaling/ScaleOutPlanTest.java
+++ b/src/test/java/stileferry/autoscaling/ScaleOutPlanTest.java
@@ -36,4 +36,19 @@
         JobSpecBuilder gang = JobSpecBuilder.gang(1).team("red").tasks(6).cpus(8);
         assertEquals(List.of(), requestedPools(gang, Set.of()));
     }
+
+    /** Guards against machines that are requested in a zone whose half of the tasks is there already. */
+    @Test
+    void machinesForSpreadTasksAreRequestedOnlyInZonesThatAdmitThem() {
+        JobSpecBuilder service = JobSpecBuilder.service(1).tasks(4).cpus(8).spreadAcrossZones(true);
+        assertEquals(List.of("za", "za", "zb", "zb"), requestedPools(service, Set.of()));
+        assertEquals(List.of("za", "za"), requestedPools(service, Set.of("zb")));
+    }
+
+    /** Guards against machines in several zones that are requested for tasks which have to run in one. */
+    @Test
+    void machinesForTasksBoundToOneZoneAreRequestedInOneZone() {
+        JobSpecBuilder array = JobSpecBuilder.array(1).tasks(2).cpus(8).oneZone(true);
+        assertEquals(List.of("za", "za"), requestedPools(array, Set.of()));
+    }
 }
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -76,4 +76,33 @@
         assertEquals(4, machine.freeCpus());
         assertEquals(List.of(service), startedInPass(1000));
     }
+
+    /** Guards against running tasks being stopped for a gang that has no capacity in its second zone. */
+    @Test
+    void nothingIsPreemptedForSpreadGangThatFitsInOneZoneOnly() {
+        run(addJob("red", Kind.SERVICE, Priority.CRITICAL, 1, 8), addMachine("zb-1", "zb"), 1);
+        run(addJob("blue", Kind.ARRAY, Priority.NORMAL, 8, 1), machine, 8);
+        addJobFrom(nextSpec("red", Kind.GANG, Priority.URGENT, 4, 2).spreadAcrossZones(true));
+        assertEquals(Map.of(), victimsByMachine());
+    }
+
+    @Test
+    void spreadGangPreemptsForHalfOfItsTasksInEachZone() {
+        run(addJob("blue", Kind.ARRAY, Priority.NORMAL, 8, 1), machine, 8);
+        run(addJob("free", Kind.ARRAY, Priority.NORMAL, 8, 1), addMachine("zb-1", "zb"), 8);
+        addJobFrom(nextSpec("red", Kind.GANG, Priority.URGENT, 4, 2).spreadAcrossZones(true));
+        assertEquals(Map.of("m", 4L, "zb-1", 4L), victimsByMachine());
+    }
+
+    /** Guards against capacity being freed in a zone for tasks of a service that may not run there. */
+    @Test
+    void capacityForSpreadOrBoundTasksIsFreedOnlyInZonesThatAdmitThem() {
+        run(addJob("blue", Kind.ARRAY, Priority.NORMAL, 8, 1), machine, 8);
+        addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 4, 2).spreadAcrossZones(true));
+        assertEquals(Map.of("m", 4L), victimsByMachine(), "capacity for two of four tasks");
+        cluster.jobs().get("job-2").requestCancellation();
+        run(addJob("free", Kind.ARRAY, Priority.NORMAL, 8, 1), addMachine("zb-1", "zb"), 8);
+        addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 2, 5).oneZone(true));
+        assertEquals(Map.of("m", 5L), victimsByMachine(), "capacity in one zone");
+    }
 }
