Do not take a job at its team's limit as a proof that nothing as large fits

Cause: BackfillPass put each refused job on the list of requests that fit nowhere and only then asked whether its team's limit was the reason. The entry stayed; with the next entry the whole list was applied, and every job of every team that asks for as much was passed over, in each pass.

Refuted: that the job at the limit alone blocks the others (the test passed before if that job is the last one to be added).

Change: a job goes on the list only if its team's limit would let it start.

Why it works: what is on the list was refused for want of capacity alone.

--- a/src/main/java/stileferry/scheduling/BackfillPass.java
+++ b/src/main/java/stileferry/scheduling/BackfillPass.java
@@ -109,7 +109,9 @@
         List<Machine> machines = placement.select(entry.job, usableMachines(entry.job), now);
         if (machines.isEmpty()) {
             markBlocked(entry);
-            blockLargerRequests(entry.job);
+            if (cluster.teamLimits().startableTasks(entry.job) > 0) { // otherwise only its team's limit is proven
+                blockLargerRequests(entry.job);
+            }
         } else if (preemptionEnabled && placement.imageLocalityDelay().shouldDelay(entry.job, machines, now)) {
             markBlocked(entry);
         } else {
@@ -163,7 +165,7 @@
 
     /** Blocks all jobs that request at least as much as a job that fits on no machine: they don't fit either. */
     private void blockLargerRequests(Job job) {
-        if (unplaceableRequests.add(job) && cluster.teamLimits().startableTasks(job) > 0) {
+        if (unplaceableRequests.add(job)) {
             for (QueuedJob entry : queue) {
                 if (!entry.blocked && unplaceableRequests.cover(entry.job)) {
                     markBlocked(entry);
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -105,4 +105,14 @@
         addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 2, 5).oneZone(true));
         assertEquals(Map.of("m", 5L), victimsByMachine(), "capacity in one zone");
     }
+
+    /** Guards against jobs at their team's limit being taken as a proof that nothing as large fits anywhere. */
+    @Test
+    void jobAtItsTeamsLimitDoesNotKeepJobsOfOtherTeamsFromStarting() {
+        useRedLimitExcept(0);
+        addJob("red", Kind.ARRAY, Priority.URGENT, 1, 1);
+        addJobFrom(nextSpec("blue", Kind.ARRAY, Priority.NORMAL, 1, 1).zone("zb"));
+        Job fitting = addJob("blue", Kind.ARRAY, Priority.NORMAL, 1, 1);
+        assertEquals(List.of(fitting), startedInPass(1000));
+    }
 }
