Leave jobs that wait for their team's limit out of the scheduling pass

Cause: BackfillPass keeps machines for the head whatever it waits for. The machines are of no use to a job at its team's limit; what it lacks is used by other jobs of its team.

Change: a pass begins with the jobs that TeamLimits lets start; a job that reaches the limit later in the pass leaves it. Once a job has waited for its limit longer than the head protection time, later jobs of its team leave what becomes free below the limit to it, as the protection of the head gave it before. What a pass returns as waiting for capacity has no such jobs either, so that nothing is freed, requested or drained for them.

--- a/src/main/java/stileferry/scheduling/BackfillPass.java
+++ b/src/main/java/stileferry/scheduling/BackfillPass.java
@@ -1,13 +1,14 @@
 package stileferry.scheduling;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
-import stileferry.protocol.OperatorSettings;
 
 /**
  * One pass of JR-backfilling over the queue. It starts tasks of the head of the queue if they fit, otherwise of the
@@ -22,15 +23,13 @@
     private final boolean preemptionEnabled;
     private final int maxStarts;
     private final BiConsumer<Job, List<Machine>> start;
-    private final double headProtectionMs;
 
     private final List<QueuedJob> queue = new ArrayList<>();
     private final UnplaceableRequests unplaceableRequests = new UnplaceableRequests();
     private int unblockedCount;
     private int starts;
     private boolean startedOverdue;
-    private Job reservedMachineJob;
-    private Machine reservedMachine;
+    private HeadProtection headProtection;
 
     /** A job in the queue, with its rank and whether it is blocked for the rest of the pass. */
     private static final class QueuedJob {
@@ -60,15 +59,15 @@
         this.preemptionEnabled = preemptionEnabled;
         this.maxStarts = maxStarts;
         this.start = start;
-        this.headProtectionMs = 1000 * cluster.operatorSettings().number(OperatorSettings.HEAD_PROTECTION_S);
     }
 
-    /** Runs the pass and returns the jobs that still wait for capacity, in queue order. */
+    /**
+     * Runs the pass and returns the jobs that still wait for capacity, in queue order. Jobs that wait for their team's
+     * limit are not among them.
+     */
     List<Job> run() {
         placement.queueOrder().markWithinQuota();
-        for (Job job : placement.queue(now, timeOfDay)) {
-            queue.add(new QueuedJob(job, placement.rank(job)));
-        }
+        fillQueue();
         unblockedCount = queue.size();
         while (unblockedCount > 0 && starts < maxStarts) {
             tryToStart(nextPosition());
@@ -78,6 +77,25 @@
         return waiting;
     }
 
+    /**
+     * Adds the jobs that may start if there is capacity. A job that its team's limit keeps from starting would keep
+     * capacity that it can't use from other jobs. Once such a job has waited for too long, later jobs of its team don't
+     * take part either: they would use what becomes free below the limit.
+     */
+    private void fillQueue() {
+        Set<String> teamsHeldBack = new HashSet<>();
+        for (Job job : placement.queue(now, timeOfDay)) {
+            String team = job.spec().team();
+            if (cluster.teamLimits().startableTasks(job) == 0) {
+                if (placement.waitsTooLong(job, timeOfDay)) {
+                    teamsHeldBack.add(team);
+                }
+            } else if (!teamsHeldBack.contains(team)) {
+                queue.add(new QueuedJob(job, placement.rank(job)));
+            }
+        }
+    }
+
     /** Returns whether the pass stopped before it had started everything that fits. */
     boolean stoppedEarly() {
         return unblockedCount > 0 || startedOverdue;
@@ -106,12 +124,14 @@
 
     private void tryToStart(int position) {
         QueuedJob entry = queue.get(position);
+        if (cluster.teamLimits().startableTasks(entry.job) == 0) { // others of its team have started since
+            removeUnblocked(position);
+            return;
+        }
         List<Machine> machines = placement.select(entry.job, usableMachines(entry.job), now);
         if (machines.isEmpty()) {
             markBlocked(entry);
-            if (cluster.teamLimits().startableTasks(entry.job) > 0) { // otherwise only its team's limit is proven
-                blockLargerRequests(entry.job);
-            }
+            blockLargerRequests(entry.job);
         } else if (preemptionEnabled && placement.imageLocalityDelay().shouldDelay(entry.job, machines, now)) {
             markBlocked(entry);
         } else {
@@ -119,32 +139,12 @@
         }
     }
 
-    /**
-     * Returns which machines a job may use without delaying the head of the queue. Once the head has waited for longer
-     * than the head protection time, these are only machines of types that the head can't use; while the head is
-     * overdue, all except the one reserved for it.
-     */
     private Predicate<Machine> usableMachines(Job job) {
         Job head = queue.get(0).job;
-        if (job == head) {
-            return machine -> true;
-        }
-        if (timeOfDay - head.submittedAt() > headProtectionMs) {
-            return machine -> !head.spec().fitsMachineType(machine.type());
-        }
-        if (placement.overdue(head, timeOfDay)) {
-            Machine reserved = machineReservedFor(head);
-            return machine -> machine != reserved;
+        if (headProtection == null || headProtection.head() != head) {
+            headProtection = new HeadProtection(placement, head, now, timeOfDay);
         }
-        return machine -> true;
-    }
-
-    private Machine machineReservedFor(Job head) {
-        if (reservedMachineJob != head) {
-            reservedMachineJob = head;
-            reservedMachine = placement.selector().withMostFreeCpus(head, now);
-        }
-        return reservedMachine;
+        return headProtection.usableMachines(job);
     }
 
     private void start(int position, Job job, List<Machine> machines) {
@@ -153,11 +153,15 @@
         starts += machines.size();
         startedOverdue |= overdue; // the job's other tasks follow in another pass, in their regular queue position
         if (overdue || job.nextPendingTask(now) < 0) {
-            queue.remove(position);
-            unblockedCount--;
+            removeUnblocked(position);
         }
     }
 
+    private void removeUnblocked(int position) {
+        queue.remove(position);
+        unblockedCount--;
+    }
+
     private void markBlocked(QueuedJob entry) {
         entry.blocked = true;
         unblockedCount--;
--- a/src/main/java/stileferry/scheduling/Placement.java
+++ b/src/main/java/stileferry/scheduling/Placement.java
@@ -82,6 +82,11 @@
         return queueOrder.overdue(job, timeOfDay);
     }
 
+    /** Returns whether a job, if it waits, has waited for so long that later jobs have to stand back. */
+    boolean waitsTooLong(Job job, long timeOfDay) {
+        return queueOrder.waitsTooLong(job, timeOfDay);
+    }
+
     /**
      * Returns a machine for the next task of a job, or one for each task of a gang, or an empty list if they don't fit.
      */
--- a/src/main/java/stileferry/scheduling/QueueOrder.java
+++ b/src/main/java/stileferry/scheduling/QueueOrder.java
@@ -45,6 +45,12 @@
                         > 1000 * cluster.operatorSettings().number(OperatorSettings.BEGIN_WITHIN_S);
     }
 
+    /** Returns whether a job was submitted longer ago than the head protection time. */
+    boolean waitsTooLong(Job job, long timeOfDay) {
+        return timeOfDay - job.submittedAt()
+                > 1000 * cluster.operatorSettings().number(OperatorSettings.HEAD_PROTECTION_S);
+    }
+
     /** Returns the jobs with a pending task that may start now, in queue order. */
     List<Job> queue(long now, long timeOfDay) {
         List<Job> queue = new ArrayList<>();
--- a/src/test/java/stileferry/scheduling/SchedulingTestCase.java
+++ b/src/test/java/stileferry/scheduling/SchedulingTestCase.java
@@ -51,7 +51,11 @@
     }
 
     Job addJobFrom(JobSpecBuilder spec) {
-        Job job = TestJob.accepted(spec.build(), jobCount, 0);
+        return addJobFrom(spec, 0);
+    }
+
+    Job addJobFrom(JobSpecBuilder spec, long submittedAt) {
+        Job job = TestJob.accepted(spec.build(), jobCount, submittedAt);
         cluster.addJob(job);
         return job;
     }
@@ -95,7 +99,11 @@
     }
 
     List<Preemption.PlannedPreemption> planPreemptions() {
-        List<Job> waiting = placement.runPass(NOW, 1000, false, (job, machines) -> {});
-        return new Preemption(cluster, placement).plan(waiting, NOW, 60_000, 1000);
+        return planPreemptions(1000);
+    }
+
+    List<Preemption.PlannedPreemption> planPreemptions(long timeOfDay) {
+        List<Job> waiting = placement.runPass(NOW, timeOfDay, false, (job, machines) -> {});
+        return new Preemption(cluster, placement).plan(waiting, NOW, 60_000, timeOfDay);
     }
 }
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -19,6 +19,9 @@
 class StartConditionsTest extends SchedulingTestCase {
     private static final long STARTED = 10_000;
 
+    /** A time of day at which the head of the queue, submitted at 0, has waited for longer than its protection time. */
+    private static final long AFTER_HEAD_PROTECTION = 700_000;
+
     private void run(Job job, Machine on, int tasks) {
         for (int i = 0; i < tasks; i++) {
             addRunningTask(job, on, STARTED);
@@ -115,4 +118,24 @@
         Job fitting = addJob("blue", Kind.ARRAY, Priority.NORMAL, 1, 1);
         assertEquals(List.of(fitting), startedInPass(1000));
     }
+
+    /** Guards against a head of the queue at its team's limit that keeps all machines from other teams. */
+    @Test
+    void headAtItsTeamsLimitKeepsNoMachineFromOtherTeams() {
+        useRedLimitExcept(0);
+        addJob("red", Kind.ARRAY, Priority.URGENT, 1, 1);
+        Job fitting = addJob("blue", Kind.ARRAY, Priority.NORMAL, 1, 1);
+        assertEquals(List.of(fitting), startedInPass(AFTER_HEAD_PROTECTION));
+    }
+
+    /** Guards against large jobs that wait for their team's limit without end behind smaller jobs of the team. */
+    @Test
+    void laterJobsOfATeamStandBackBehindAJobThatWaitsTooLongForItsLimit() {
+        useRedLimitExcept(1);
+        addJob("red", Kind.ARRAY, Priority.NORMAL, 1, 2);
+        Job small = addJob("red", Kind.ARRAY, Priority.NORMAL, 1, 1);
+        assertEquals(List.of(small), startedInPass(1000));
+        addJob("red", Kind.ARRAY, Priority.NORMAL, 1, 1);
+        assertEquals(List.of(), startedInPass(AFTER_HEAD_PROTECTION));
+    }
 }
