Preempt only on machines that the preempting job may use

It freed capacity there for a job that the pass then refused that machine, and the reservation for that job kept the overdue one from it as well: neither started while the plan was renewed.

Evidence: nothingIsPreemptedOnTheMachineKeptForAnOverdueJob failed before: an idle task was to be stopped there for a service.

Change: Preemption asks HeadProtection, as the pass does.

--- a/src/main/java/stileferry/scheduling/Preemption.java
+++ b/src/main/java/stileferry/scheduling/Preemption.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.Predicate;
 import stileferry.cluster.ClusterState;
 import stileferry.cluster.Job;
 import stileferry.cluster.Machine;
@@ -34,13 +35,16 @@
     private static final double GANG_WAIT_SHARE = 0.25;
 
     private final ClusterState cluster;
+    private final Placement placement;
     private final PlacementConstraints constraints;
     private final StartObjectives objectives;
     private final VictimSelector victimSelector;
     private int visitsLeft;
+    private HeadProtection headProtection;
 
     Preemption(ClusterState cluster, Placement placement) {
         this.cluster = cluster;
+        this.placement = placement;
         this.constraints = placement.constraints();
         this.objectives = placement.startObjectives();
         this.victimSelector = new VictimSelector(cluster);
@@ -65,6 +69,7 @@
         PreemptionPlan plan = new PreemptionPlan();
         cluster.stoppingTasks().forEach(plan::markStopping);
         Map<List<Object>, UnplaceableRequests> unplaceableByEntitlement = new HashMap<>();
+        headProtection = waiting.isEmpty() ? null : new HeadProtection(placement, waiting.get(0), now, timeOfDay);
         visitsLeft = VISIT_BUDGET_PER_MACHINE * cluster.machines().size() + BASE_VISIT_BUDGET;
         for (Job job : waiting) {
             if (visitsLeft <= 0) {
@@ -164,8 +169,9 @@
         PriorityQueue<Candidate> candidates = new PriorityQueue<>(Comparator.comparing(Candidate::pullsImage)
                 .thenComparingLong(Candidate::lostWorkMs)
                 .thenComparing(Candidate::machine));
+        Predicate<Machine> usable = headProtection.usableMachines(job);
         for (Machine machine : cluster.machines().values()) {
-            if (machine.agent().heardThisTerm() && constraints.allow(job, machine, now)) {
+            if (machine.agent().heardThisTerm() && constraints.allow(job, machine, now) && usable.test(machine)) {
                 visitsLeft--;
                 addUnlessNull(candidates, findCandidate(job, machine, zones, now, plan));
             }
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -19,7 +19,9 @@
 class StartConditionsTest extends SchedulingTestCase {
     private static final long STARTED = 10_000;
 
-    /** A time of day at which the head of the queue, submitted at 0, has waited for longer than its protection time. */
+    /** Times of day at which jobs that were submitted at 0 and have not begun are overdue, or have to be protected. */
+    private static final long OVERDUE = 200_000;
+
     private static final long AFTER_HEAD_PROTECTION = 700_000;
 
     private void run(Job job, Machine on, int tasks) {
@@ -138,4 +140,13 @@
         addJob("red", Kind.ARRAY, Priority.NORMAL, 1, 1);
         assertEquals(List.of(), startedInPass(AFTER_HEAD_PROTECTION));
     }
+
+    /** Guards against capacity freed and reserved for a job on the one machine that is kept for an overdue job. */
+    @Test
+    void nothingIsPreemptedOnTheMachineKeptForAnOverdueJob() {
+        run(addJob("blue", Kind.ARRAY, Priority.IDLE, 4, 1), machine, 4);
+        addJob("blue", Kind.ARRAY, Priority.IDLE, 1, 6);
+        addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 1, 5), OVERDUE);
+        assertEquals(List.of(), planPreemptions(OVERDUE));
+    }
 }
