Keep a machine for an overdue job only if the job can begin there

Cause: for an overdue head of the queue the machine with the most free CPUs is kept from all other jobs, whether the head can ever begin on it or not. A gang that needs several machines can't, and a job can't where services, which don't end by themselves, leave too little.

Refuted: a stuck CommitQueue (its backlog is 0 then; it is the cancellation of all services at 90 s that fills it), reservations (none), the links (starts are permitted). Two new tests failed before: nothing started on a machine with room.

Change: the machine kept is one where all tasks that begin together fit beside the services; otherwise none is kept.

--- a/src/main/java/stileferry/cluster/Machine.java
+++ b/src/main/java/stileferry/cluster/Machine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import stileferry.protocol.Heartbeat;
 import stileferry.protocol.JobSpec;
 import stileferry.protocol.MachineType;
@@ -151,10 +152,20 @@
 
     /** Returns the number of tasks of this job that would fit if all tasks of lower priority were preempted. */
     public int tasksFittingWithPreemption(Job job) {
+        return tasksFittingWithout(
+                other -> other.priority().compareTo(job.spec().priority()) > 0, job);
+    }
+
+    /** Returns the number of tasks of this job that will fit once all tasks that end by themselves have ended. */
+    public int tasksFittingBesideServices(Job job) {
+        return tasksFittingWithout(other -> !other.isService(), job);
+    }
+
+    private int tasksFittingWithout(Predicate<JobSpec> gone, Job job) {
         Resources free = Resources.of(type);
         free.subtract(usedResources);
         for (TaskAssignment assignment : assignments.values()) {
-            if (assignment.job().spec().priority().compareTo(job.spec().priority()) > 0) {
+            if (gone.test(assignment.job().spec())) {
                 free.add(assignment.job().spec());
             }
         }
--- a/src/main/java/stileferry/scheduling/HeadProtection.java
+++ b/src/main/java/stileferry/scheduling/HeadProtection.java
@@ -7,7 +7,7 @@
 /**
  * Keeps machines for the head of the queue, the first job that may start if there is capacity. Once the head has waited
  * for longer than the head protection time, other jobs may use only machines of types that it can't use; while it is
- * overdue, all except one.
+ * overdue, all except one on which it can begin.
  */
 final class HeadProtection {
     private final Placement placement;
@@ -49,7 +49,7 @@
     private Machine keptMachine() {
         if (!oneMachineSelected) {
             oneMachineSelected = true;
-            keptMachine = placement.selector().withMostFreeCpus(head, now);
+            keptMachine = placement.selector().machineToKeepFor(head, now);
         }
         return keptMachine;
     }
--- a/src/main/java/stileferry/scheduling/MachineSelector.java
+++ b/src/main/java/stileferry/scheduling/MachineSelector.java
@@ -116,14 +116,17 @@
     }
 
     /**
-     * Returns the machine with the most free CPUs among those that the job may use, whether a task fits there or not,
-     * or null if there is none.
+     * Returns the machine to keep for a job that has waited too long for its first task: the one with the most free CPUs
+     * among those on which the job will be able to begin, with all of its tasks if it is a gang, once the tasks that end
+     * by themselves have ended there. Returns null if there is none.
      */
-    Machine withMostFreeCpus(Job job, long now) {
+    Machine machineToKeepFor(Job job, long now) {
+        int tasksToBegin = job.spec().isGang() ? job.pendingCount() : 1;
         Machine best = null;
         for (Machine machine : cluster.machines().values()) {
             if (machine.agent().heardThisTerm()
                     && constraints.allow(job, machine, now)
+                    && machine.tasksFittingBesideServices(job) >= tasksToBegin
                     && (best == null || machine.freeCpus() > best.freeCpus())) {
                 best = machine;
             }
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -149,4 +149,21 @@
         addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 1, 5), OVERDUE);
         assertEquals(List.of(), planPreemptions(OVERDUE));
     }
+
+    /** Guards against a machine being kept from all other jobs for a gang that could not begin on it alone. */
+    @Test
+    void noMachineIsKeptForAnOverdueGangThatNeedsSeveral() {
+        addJob("free", Kind.GANG, Priority.NORMAL, 4, 4);
+        Job small = addJobFrom(nextSpec("blue", Kind.ARRAY, Priority.NORMAL, 1, 1), OVERDUE);
+        assertEquals(List.of(small), startedInPass(OVERDUE));
+    }
+
+    /** Guards against a machine being kept for an overdue job although services will leave too little capacity there. */
+    @Test
+    void noMachineIsKeptForAnOverdueJobThatDoesNotFitBesideItsServices() {
+        run(addJob("red", Kind.SERVICE, Priority.CRITICAL, 1, 4), machine, 1);
+        addJob("free", Kind.ARRAY, Priority.NORMAL, 1, 6);
+        Job small = addJobFrom(nextSpec("blue", Kind.ARRAY, Priority.NORMAL, 1, 1), OVERDUE);
+        assertEquals(List.of(small), startedInPass(OVERDUE));
+    }
 }
