Reserve capacity freed for a quota against the jobs that exceed theirs

While the head of the queue was blocked, jobs are tried by rank times position, so the preempted tasks, if they are small, started there again first, and were preempted again in the same pass.

Evidence: capacityFreedForAQuotaIsReservedAgainstTheJobsThatExceedTheirs failed before: the preempted job was started before the one within its quota.

Change: CapacityReservations keeps capacity from the jobs after the reserving one in Job.BY_PRECEDENCE, the order in which UnplaceableRequests already counts.

--- a/src/main/java/stileferry/cluster/CapacityReservations.java
+++ b/src/main/java/stileferry/cluster/CapacityReservations.java
@@ -7,8 +7,8 @@
 
 /**
  * Reservations of the capacity that is being freed for waiting jobs by preempting others. Until the waiting jobs start,
- * jobs of lower priority may not use this capacity: they would be preempted again immediately, and each such start
- * costs writes to the store.
+ * jobs that come after them by precedence may not use this capacity: they would be preempted again immediately, and each
+ * such start costs writes to the store.
  */
 public final class CapacityReservations {
     /** The resources reserved for each job, by machine name. */
@@ -39,7 +39,7 @@
         }
     }
 
-    /** Returns whether a task of this job fits on a machine beside the reservations of jobs of higher priority. */
+    /** Returns whether a task of this job fits on a machine beside the reservations of jobs with precedence over it. */
     public boolean allow(Machine machine, Job job) {
         Map<Job, Resources> reserved = reservedByMachine.get(machine.name());
         if (reserved == null) {
@@ -48,7 +48,7 @@
         Resources needed = new Resources();
         needed.add(job.spec());
         for (Map.Entry<Job, Resources> reservation : reserved.entrySet()) {
-            if (reservation.getKey().spec().priority().compareTo(job.spec().priority()) < 0) {
+            if (Job.BY_PRECEDENCE.compare(reservation.getKey(), job) < 0) {
                 needed.add(reservation.getValue());
             }
         }
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -82,6 +82,17 @@
         assertEquals(List.of(service), startedInPass(1000));
     }
 
+    /** Guards against tasks that start again where they were preempted for another team's quota, again and again. */
+    @Test
+    void capacityFreedForAQuotaIsReservedAgainstTheJobsThatExceedTheirs() {
+        addJobFrom(nextSpec("red", Kind.SERVICE, Priority.CRITICAL, 1, 1).zone("zb"));
+        Job exceeding = addJob("blue", Kind.ARRAY, Priority.NORMAL, 20, 1);
+        run(exceeding, machine, 8);
+        Job withinQuota = addJob("red", Kind.ARRAY, Priority.NORMAL, 1, 4);
+        planPreemptions().forEach(planned -> cluster.unassign(planned.victim(), false));
+        assertEquals(List.of(withinQuota), startedInPass(1000));
+    }
+
     /** Guards against running tasks being stopped for a gang that has no capacity in its second zone. */
     @Test
     void nothingIsPreemptedForSpreadGangThatFitsInOneZoneOnly() {
