Hold a team's later jobs back only behind the first job of the queue

Cause: a job that waits for its team's limit held later jobs of its team back at any place in the queue, once it had waited for the head protection time. That is more than the protection of the head did before, and a team whose limit is used by services would have small jobs wait for a large one that can't start.

Change: only the first job of all does, as before. The test of it passes unchanged.

--- a/src/main/java/stileferry/cluster/TeamLimits.java
+++ b/src/main/java/stileferry/cluster/TeamLimits.java
@@ -61,7 +61,7 @@
         return usage == null ? NOTHING : usage.used;
     }
 
-    /** Returns how many of the job's pending tasks its team's limit allows to start, see the other method. */
+    /** Returns how many of the job's pending tasks its team's limit allows to start beside what the team uses. */
     public int startableTasks(Job job) {
         return startableTasks(job, NOTHING);
     }
--- a/src/main/java/stileferry/scheduling/BackfillPass.java
+++ b/src/main/java/stileferry/scheduling/BackfillPass.java
@@ -1,9 +1,7 @@
 package stileferry.scheduling;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import stileferry.cluster.ClusterState;
@@ -79,19 +77,19 @@
 
     /**
      * Adds the jobs that may start if there is capacity. A job that its team's limit keeps from starting would keep
-     * capacity that it can't use from other jobs. Once such a job has waited for too long, later jobs of its team don't
-     * take part either: they would use what becomes free below the limit.
+     * capacity that it can't use from other jobs. If such a job is the first of all and has waited for too long, later
+     * jobs of its team don't take part either: they would use what becomes free below the limit.
      */
     private void fillQueue() {
-        Set<String> teamsHeldBack = new HashSet<>();
-        for (Job job : placement.queue(now, timeOfDay)) {
-            String team = job.spec().team();
-            if (cluster.teamLimits().startableTasks(job) == 0) {
-                if (placement.waitsTooLong(job, timeOfDay)) {
-                    teamsHeldBack.add(team);
+        List<Job> jobs = placement.queue(now, timeOfDay);
+        String teamHeldBack = null;
+        for (Job job : jobs) {
+            if (cluster.teamLimits().startableTasks(job) > 0) {
+                if (!job.spec().team().equals(teamHeldBack)) {
+                    queue.add(new QueuedJob(job, placement.rank(job)));
                 }
-            } else if (!teamsHeldBack.contains(team)) {
-                queue.add(new QueuedJob(job, placement.rank(job)));
+            } else if (job == jobs.get(0) && placement.waitsTooLong(job, timeOfDay)) {
+                teamHeldBack = job.spec().team();
             }
         }
     }
