--- a/src/test/java/stileferry/coordination/InvariantsUnderFaultsTest.java
+++ b/src/test/java/stileferry/coordination/InvariantsUnderFaultsTest.java
@@ -51,6 +51,17 @@
         }));
     }
 
+    /** Guards against jobs that wait under long load beside machines kept or freed for jobs that can't begin there. */
+    @ParameterizedTest
+    @ValueSource(longs = {900_441, 900_478, 900_498, 900_552})
+    void invariantsHoldUnderLongLoad(long seed) {
+        ChaosRun.assertAllJobsEnded(ChaosRun.run(seed, 300, cluster -> {
+            cluster.features = new Features(true, true);
+            cluster.faults.neverSlowsControllers = true;
+            cluster.repeatedRequests.rate = REPEATED_REQUEST_RATE;
+        }));
+    }
+
     private static SimulatedCluster runWithIsolatedZones(long seed, boolean neverSlowsControllers) {
         return ChaosRun.run(seed, 120, cluster -> {
             cluster.faults.neverSlowsControllers = neverSlowsControllers;
