--- a/src/main/java/stileferry/cluster/CapacityReservations.java
+++ b/src/main/java/stileferry/cluster/CapacityReservations.java
@@ -7,8 +7,8 @@
 
 /**
  * Reservations of the capacity that is being freed for waiting jobs by preempting others. Until the waiting jobs start,
- * jobs that come after them by precedence may not use this capacity: they would be preempted again immediately, and each
- * such start costs writes to the store.
+ * jobs that come after them by precedence may not use this capacity: they would be preempted again immediately, and
+ * each such start costs writes to the store.
  */
 public final class CapacityReservations {
     /** The resources reserved for each job, by machine name. */
--- a/src/main/java/stileferry/scheduling/MachineSelector.java
+++ b/src/main/java/stileferry/scheduling/MachineSelector.java
@@ -116,9 +116,9 @@
     }
 
     /**
-     * Returns the machine to keep for a job that has waited too long for its first task: the one with the most free CPUs
-     * among those on which the job will be able to begin, with all of its tasks if it is a gang, once the tasks that end
-     * by themselves have ended there. Returns null if there is none.
+     * Returns the machine to keep for a job that has waited too long for its first task, or null if there is none: the
+     * one with the most free CPUs among those on which the job will be able to begin, with all of its tasks if it is a
+     * gang, once the tasks that end by themselves have ended there.
      */
     Machine machineToKeepFor(Job job, long now) {
         int tasksToBegin = job.spec().isGang() ? job.pendingCount() : 1;
--- a/src/test/java/stileferry/scheduling/StartConditionsTest.java
+++ b/src/test/java/stileferry/scheduling/StartConditionsTest.java
@@ -169,7 +169,7 @@
         assertEquals(List.of(small), startedInPass(OVERDUE));
     }
 
-    /** Guards against a machine being kept for an overdue job although services will leave too little capacity there. */
+    /** Guards against a machine being kept for an overdue job although services leave too little capacity there. */
     @Test
     void noMachineIsKeptForAnOverdueJobThatDoesNotFitBesideItsServices() {
         run(addJob("red", Kind.SERVICE, Priority.CRITICAL, 1, 4), machine, 1);
